--- /dev/null
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.lovagethread.cli;
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/CoreSettings.java
@@ -0,0 +1,211 @@
+package org.lovagethread.core;
+
+import java.util.Objects;
+
+/** Holds the settings of one decision core. */
+public final class CoreSettings {
+    private final String address;
+    private final long addressLifetimeMillis;
+    private final long incarnation;
+    private final String node;
+    private final String peerAddress;
+    private final String region;
+    private final long seed;
+    private final String zone;
+
+    private CoreSettings(Builder builder) {
+        address = Checks.notBlank(builder.address, "address");
+        addressLifetimeMillis = Checks.inRange(builder.addressLifetimeMillis, 100, 600_000, "address lifetime in ms");
+        incarnation = builder.incarnation;
+        node = Checks.notBlank(builder.node, "node");
+        peerAddress = Objects.requireNonNull(builder.peerAddress, "peer address");
+        region = Objects.requireNonNull(builder.region, "region");
+        seed = builder.seed;
+        zone = Objects.requireNonNull(builder.zone, "zone");
+    }
+
+    /**
+     * Starts a builder.
+     *
+     * @param node the name of the node
+     * @return a new builder
+     */
+    public static Builder builder(String node) {
+        return new Builder(node);
+    }
+
+    /**
+     * Returns the host and port for callers.
+     *
+     * @return the address, never blank
+     */
+    public String address() {
+        return address;
+    }
+
+    /**
+     * Returns how long a caller may use an address answer.
+     *
+     * @return the lifetime in milliseconds
+     */
+    public long addressLifetimeMillis() {
+        return addressLifetimeMillis;
+    }
+
+    /**
+     * Returns the start time of the process, which numbers its incarnations.
+     *
+     * @return milliseconds since the epoch
+     */
+    public long incarnation() {
+        return incarnation;
+    }
+
+    /**
+     * Returns the name of the node.
+     *
+     * @return the name, never blank
+     */
+    public String node() {
+        return node;
+    }
+
+    /**
+     * Returns the host and port for peers.
+     *
+     * @return the address
+     */
+    public String peerAddress() {
+        return peerAddress;
+    }
+
+    /**
+     * Returns the region of the node.
+     *
+     * @return the region
+     */
+    public String region() {
+        return region;
+    }
+
+    /**
+     * Returns the seed of the core's random numbers.
+     *
+     * @return the seed
+     */
+    public long seed() {
+        return seed;
+    }
+
+    /**
+     * Returns the availability zone of the node.
+     *
+     * @return the zone
+     */
+    public String zone() {
+        return zone;
+    }
+
+    /** Builds {@link CoreSettings} step by step. */
+    public static final class Builder {
+        private final String node;
+        private String address = "";
+        private long addressLifetimeMillis = 5_000;
+        private long incarnation = 1;
+        private String peerAddress = "";
+        private String region = "";
+        private long seed;
+        private String zone = "";
+
+        private Builder(String node) {
+            this.node = node;
+        }
+
+        /**
+         * Sets the host and port for callers.
+         *
+         * @param value the address
+         * @return this builder
+         */
+        public Builder address(String value) {
+            address = value;
+            return this;
+        }
+
+        /**
+         * Sets how long a caller may use an address answer.
+         *
+         * @param value the lifetime in milliseconds
+         * @return this builder
+         */
+        public Builder addressLifetimeMillis(long value) {
+            addressLifetimeMillis = value;
+            return this;
+        }
+
+        /**
+         * Builds the settings.
+         *
+         * @return the settings
+         * @throws IllegalArgumentException if a value is missing or out of range
+         */
+        public CoreSettings build() {
+            return new CoreSettings(this);
+        }
+
+        /**
+         * Sets the start time of the process.
+         *
+         * @param value milliseconds since the epoch
+         * @return this builder
+         */
+        public Builder incarnation(long value) {
+            incarnation = value;
+            return this;
+        }
+
+        /**
+         * Sets the host and port for peers.
+         *
+         * @param value the address
+         * @return this builder
+         */
+        public Builder peerAddress(String value) {
+            peerAddress = value;
+            return this;
+        }
+
+        /**
+         * Sets the region.
+         *
+         * @param value the region
+         * @return this builder
+         */
+        public Builder region(String value) {
+            region = value;
+            return this;
+        }
+
+        /**
+         * Sets the seed of the random numbers.
+         *
+         * @param value the seed
+         * @return this builder
+         */
+        public Builder seed(long value) {
+            seed = value;
+            return this;
+        }
+
+        /**
+         * Sets the availability zone.
+         *
+         * @param value the zone
+         * @return this builder
+         */
+        public Builder zone(String value) {
+            zone = value;
+            return this;
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/Attempt.java
@@ -0,0 +1,29 @@
+package org.lovagethread.core.call;
+
+/** Holds the state of one attempt in flight. */
+final class Attempt {
+    final long id;
+    final long callId;
+    final String upstream;
+    final String address;
+    final int fromChunk;
+    final long startedMillis;
+    int lastChunk;
+    long firstProgressMillis;
+    long progressDeadlineMillis;
+
+    Attempt(long id, long callId, String upstream, String address, int fromChunk, long startedMillis) {
+        this.id = id;
+        this.callId = callId;
+        this.upstream = upstream;
+        this.address = address;
+        this.fromChunk = fromChunk;
+        this.startedMillis = startedMillis;
+        this.lastChunk = fromChunk;
+    }
+
+    /** Tests whether the attempt itself has added a chunk to the caller's stream. */
+    boolean delivering() {
+        return firstProgressMillis > 0;
+    }
+}
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/Call.java
@@ -0,0 +1,57 @@
+package org.lovagethread.core.call;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.lovagethread.core.store.Claim;
+import org.lovagethread.core.store.StoredAnswer;
+
+/** Holds the state of one call. */
+final class Call {
+    final CallRequest request;
+    final List<Attempt> attempts = new ArrayList<>();
+    final Set<String> failedUpstreams = new HashSet<>();
+    CallPhase phase = CallPhase.WAITING;
+    int attemptCount;
+    int lastChunk;
+    boolean mayHaveRun;
+    boolean callerAnswered;
+    boolean callerPresent = true;
+    long waitDeadlineMillis;
+    long forgetAtMillis;
+
+    /** Claim as this call last wrote, or wants to write, it. */
+    Claim claim;
+
+    long claimVersion;
+    long operationId;
+    boolean claimUncertain;
+    long recordDeadlineMillis;
+    long answerByMillis;
+    long nextTryMillis;
+    StoredAnswer answer;
+
+    Call(CallRequest request) {
+        this.request = request;
+        this.lastChunk = request.fromChunk();
+    }
+
+    long id() {
+        return request.callId();
+    }
+
+    /** Returns the text that identifies the request to a caller that comes back. */
+    String streamKey() {
+        return request.customer() + '\n' + request.service() + '\n' + request.requestId() + '\n' + request.bodyDigest();
+    }
+
+    /** Returns the name of the claim object. */
+    String claimKey() {
+        return request.customer()
+                + '/'
+                + request.service()
+                + '/'
+                + request.idempotencyKey().orElse("");
+    }
+}
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/ReclaimPlanner.java
@@ -0,0 +1,70 @@
+package org.lovagethread.core.call;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.lovagethread.core.command.DecisionKind;
+
+/** Decides for each attempt on a leaving upstream whether it finishes there or goes on elsewhere. */
+final class ReclaimPlanner {
+    /** Time before the reclaim deadline by which an attempt should have ended, in milliseconds. */
+    static final long SAFETY_MARGIN_MILLIS = 500;
+
+    /** Time between tokens that is assumed before any token was seen, in milliseconds. */
+    static final long ASSUMED_BETWEEN_TOKENS_MILLIS = 50;
+
+    /** Time before the reclaim deadline under which a cache export is not begun, in milliseconds. */
+    static final long LEAST_EXPORT_MILLIS = 1_000;
+
+    private final Dispatcher dispatcher;
+    private final CallTable table;
+
+    ReclaimPlanner(Dispatcher dispatcher, CallTable table) {
+        this.dispatcher = dispatcher;
+        this.table = table;
+    }
+
+    /** Handles the news that an upstream is leaving; attempts with the most to lose by waiting go first. */
+    void upstreamLeaving(String upstream, long deadlineMillis, long nowMillis) {
+        List<Attempt> affected = table.attemptsAt(upstream).stream()
+                .sorted(Comparator.comparingLong((Attempt attempt) -> -heldTokens(attempt))
+                        .thenComparingLong(attempt -> attempt.id))
+                .toList();
+        for (Attempt attempt : affected) {
+            table.call(attempt.callId).ifPresent(call -> plan(call, attempt, deadlineMillis, nowMillis));
+        }
+    }
+
+    /** Estimates when an attempt will have delivered its whole answer. */
+    static long estimatedEndMillis(Call call, Attempt attempt, long nowMillis) {
+        int delivered = attempt.lastChunk - attempt.fromChunk;
+        long betweenTokens = ASSUMED_BETWEEN_TOKENS_MILLIS;
+        if (attempt.delivering() && delivered > 1) {
+            betweenTokens = Math.max(1, (nowMillis - attempt.firstProgressMillis) / (delivered - 1));
+        }
+        long remaining = Math.max(0, call.request.maxTokens() - call.lastChunk);
+        return nowMillis + remaining * betweenTokens;
+    }
+
+    private long heldTokens(Attempt attempt) {
+        return table.call(attempt.callId)
+                .map(call -> (long) call.request.promptTokens() + call.lastChunk)
+                .orElse(0L);
+    }
+
+    private void plan(Call call, Attempt attempt, long deadlineMillis, long nowMillis) {
+        boolean movable = call.request.kind() == CallKind.GENERATE && call.attempts.size() == 1;
+        boolean endsInTime = estimatedEndMillis(call, attempt, nowMillis) + SAFETY_MARGIN_MILLIS <= deadlineMillis;
+        if (!movable || endsInTime) {
+            dispatcher.note(call, DecisionKind.FINISHING_IN_PLACE, attempt.upstream);
+            return;
+        }
+        boolean exportable = attempt.delivering() && nowMillis + LEAST_EXPORT_MILLIS <= deadlineMillis;
+        Optional<String> cacheSource = exportable ? Optional.of(attempt.address) : Optional.empty();
+        Optional<Attempt> moved = dispatcher.start(call, cacheSource, nowMillis);
+        if (moved.isPresent()) {
+            call.attemptCount--;
+            dispatcher.note(call, DecisionKind.MOVED, attempt.upstream + " to " + moved.get().upstream);
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/TimerQueue.java
@@ -0,0 +1,30 @@
+package org.lovagethread.core.call;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/** Holds the times at which calls want to be looked at again. */
+final class TimerQueue {
+    private static final Comparator<Timer> ORDER =
+            Comparator.comparingLong(Timer::deadlineMillis).thenComparingLong(Timer::sequence);
+
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(ORDER);
+    private long sequence;
+
+    private record Timer(long deadlineMillis, long sequence, long callId) {}
+
+    /** Returns the calls whose deadlines have passed, in the order of the deadlines. */
+    List<Long> due(long nowMillis) {
+        List<Long> due = new ArrayList<>();
+        while (!timers.isEmpty() && timers.peek().deadlineMillis() <= nowMillis) {
+            due.add(timers.poll().callId());
+        }
+        return due;
+    }
+
+    void schedule(long deadlineMillis, long callId) {
+        timers.add(new Timer(deadlineMillis, sequence++, callId));
+    }
+}
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/command/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that the decision core emits to the other duties of a node. */
+package org.lovagethread.core.command;
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/event/package-info.java
@@ -0,0 +1,2 @@
+/** Events that the decision core takes. */
+package org.lovagethread.core.event;
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/status/package-info.java
@@ -0,0 +1,2 @@
+/** Views of the core's state for operators. */
+package org.lovagethread.core.status;
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/UpstreamTable.java
@@ -0,0 +1,155 @@
+package org.lovagethread.core.upstream;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.lovagethread.core.call.AttemptOutcome;
+import org.lovagethread.core.member.LeavingUpstream;
+import org.lovagethread.core.status.NodeStatus;
+
+/**
+ * Holds the upstreams that this node knows.
+ *
+ * <p>An upstream once known to be leaving never takes new work again, even when a lagging source still shows it as
+ * live. The mark outlives the reclaim deadline by {@link #LEAVING_MEMORY_MILLIS}, which exceeds the lag of the
+ * instance list.
+ */
+public final class UpstreamTable {
+    /** Time for which a leaving mark is kept after the reclaim deadline, in milliseconds. */
+    public static final long LEAVING_MEMORY_MILLIS = 600_000;
+
+    private static final long DEADLINE_WHEN_LISTED_MILLIS = 30_000;
+
+    private final TreeMap<String, Upstream> upstreams = new TreeMap<>();
+    private final TreeMap<String, Long> leaving = new TreeMap<>();
+
+    /**
+     * Returns the upstreams that may take a new attempt for a service.
+     *
+     * @param service the name of the service
+     * @param excluded identifiers of upstreams to leave out
+     * @return the upstreams in the order of their identifiers; empty if there are none
+     */
+    public List<Upstream> candidates(String service, Set<String> excluded) {
+        List<Upstream> found = new ArrayList<>();
+        for (Upstream upstream : upstreams.values()) {
+            boolean suits = upstream.info().service().equals(service)
+                    && !leaving.containsKey(upstream.id())
+                    && !excluded.contains(upstream.id());
+            if (suits) {
+                found.add(upstream);
+            }
+        }
+        return found;
+    }
+
+    /**
+     * Records the end of an attempt.
+     *
+     * @param id the identifier of the upstream; an unknown one is passed over
+     * @param outcome how the attempt ended
+     * @param nowMillis the present time in milliseconds since the epoch
+     */
+    public void ended(String id, AttemptOutcome outcome, long nowMillis) {
+        Upstream upstream = upstreams.get(id);
+        if (upstream == null) {
+            return;
+        }
+        upstream.ended();
+        if (outcome == AttemptOutcome.COMPLETE) {
+            upstream.succeeded();
+        } else if (outcome != AttemptOutcome.CANCELLED) {
+            upstream.failed(nowMillis);
+        }
+    }
+
+    /** Drops leaving marks that are older than the memory for them. */
+    public void expire(long nowMillis) {
+        leaving.values().removeIf(deadline -> nowMillis > deadline + LEAVING_MEMORY_MILLIS);
+    }
+
+    /**
+     * Finds an upstream.
+     *
+     * @param id the identifier
+     * @return the upstream, or empty if it is not known
+     */
+    public Optional<Upstream> find(String id) {
+        return Optional.ofNullable(upstreams.get(id));
+    }
+
+    /**
+     * Returns the upstreams that take no new work.
+     *
+     * @return identifiers with their reclaim deadlines, in the order of the identifiers
+     */
+    public List<LeavingUpstream> leaving() {
+        List<LeavingUpstream> marks = new ArrayList<>();
+        leaving.forEach((id, deadline) -> marks.add(new LeavingUpstream(id, deadline)));
+        return marks;
+    }
+
+    /**
+     * Replaces what the instance list says.
+     *
+     * @param listed all instances on the list
+     * @param nowMillis the present time in milliseconds since the epoch
+     * @return the upstreams that the list newly shows as leaving
+     */
+    public List<LeavingUpstream> list(List<UpstreamInfo> listed, long nowMillis) {
+        List<LeavingUpstream> fresh = new ArrayList<>();
+        Set<String> present = new HashSet<>();
+        for (UpstreamInfo info : listed) {
+            present.add(info.id());
+            upstreams.computeIfAbsent(info.id(), id -> new Upstream(info)).update(info);
+            long deadline = nowMillis + DEADLINE_WHEN_LISTED_MILLIS;
+            if (info.leaving() && markLeaving(info.id(), deadline)) {
+                fresh.add(new LeavingUpstream(info.id(), deadline));
+            }
+        }
+        upstreams.values().removeIf(upstream -> !present.contains(upstream.id()) && upstream.inFlight() == 0);
+        return fresh;
+    }
+
+    /**
+     * Marks an upstream as leaving, whether it is known yet or not.
+     *
+     * @param id the identifier of the upstream
+     * @param deadlineMillis the time at which it will be gone, in milliseconds since the epoch
+     * @return true if it was not marked before
+     */
+    public boolean markLeaving(String id, long deadlineMillis) {
+        Long known = leaving.get(id);
+        if (known == null || deadlineMillis < known) {
+            leaving.put(id, deadlineMillis);
+        }
+        return known == null;
+    }
+
+    /**
+     * Records the start of an attempt.
+     *
+     * @param id the identifier of the upstream
+     */
+    public void started(String id) {
+        find(id).ifPresent(Upstream::started);
+    }
+
+    /**
+     * Returns the upstreams as operators see them.
+     *
+     * @return the upstreams in the order of their identifiers
+     */
+    public List<NodeStatus.UpstreamView> views() {
+        List<NodeStatus.UpstreamView> views = new ArrayList<>();
+        for (Upstream upstream : upstreams.values()) {
+            UpstreamInfo info = upstream.info();
+            boolean marked = leaving.containsKey(info.id());
+            views.add(new NodeStatus.UpstreamView(info.id(), info.service(), info.zone(), marked, upstream.inFlight()));
+        }
+        return views;
+    }
+}
--- /dev/null
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/CommandRouter.java
@@ -0,0 +1,47 @@
+package org.lovagethread.node;
+
+import org.lovagethread.core.command.Command;
+import org.lovagethread.node.decision.CommandSink;
+import org.lovagethread.node.duty.Ring;
+
+/** Carries each command of the core to the ring of the duty that does it. */
+final class CommandRouter implements CommandSink {
+    private final Ring<Command> callers;
+    private final Ring<Command> claims;
+    private final Runnable exit;
+    private final Ring<Command> peers;
+    private final Ring<Command> telemetry;
+    private final Ring<Command> upstreams;
+
+    CommandRouter(
+            Ring<Command> callers,
+            Ring<Command> upstreams,
+            Ring<Command> claims,
+            Ring<Command> peers,
+            Ring<Command> telemetry,
+            Runnable exit) {
+        this.callers = callers;
+        this.upstreams = upstreams;
+        this.claims = claims;
+        this.peers = peers;
+        this.telemetry = telemetry;
+        this.exit = exit;
+    }
+
+    @Override
+    public void accept(Command command) {
+        if (command instanceof Command.StartAttempt || command instanceof Command.CancelAttempt) {
+            upstreams.put(command);
+        } else if (command instanceof Command.WriteClaim || command instanceof Command.ReadClaim) {
+            claims.put(command);
+        } else if (command instanceof Command.TellPeers || command instanceof Command.RequestConfiguration) {
+            peers.put(command);
+        } else if (command instanceof Command.NoteDecision || command instanceof Command.ActivateConfiguration) {
+            telemetry.offer(command);
+        } else if (command instanceof Command.ExitProcess) {
+            exit.run();
+        } else {
+            callers.put(command);
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/NodeKeys.java
@@ -0,0 +1,122 @@
+package org.lovagethread.node;
+
+import java.util.List;
+import org.lovagethread.platform.settings.SettingKey;
+import org.lovagethread.platform.settings.SettingType;
+
+/** Lists the settings of a node. */
+public final class NodeKeys {
+    /** Time for which a caller may use an address answer. */
+    public static final SettingKey ADDRESS_LIFETIME_MS = SettingKey.number(
+            "calls", "address_lifetime_ms", 5_000, 500, 600_000, "Time for which a caller may use an address answer.");
+
+    /** Port for callers and operators. */
+    public static final SettingKey CALLER_PORT =
+            SettingKey.port("node", "caller_port", "Port for callers and operators.");
+
+    /** Name of the cell. */
+    public static final SettingKey CELL =
+            SettingKey.required("node", "cell", SettingType.NAME, "Name of the cell; its nodes know each other.");
+
+    /** Address of the Cloud API. */
+    public static final SettingKey CLOUD_API =
+            SettingKey.required("platform", "cloud_api", SettingType.HTTP_URI, "Address of the Cloud API.");
+
+    /** Deadline of a call that names none. */
+    public static final SettingKey DEFAULT_DEADLINE_MS = SettingKey.number(
+            "calls",
+            "default_deadline_ms",
+            60_000,
+            100,
+            3_600_000,
+            "Deadline of a call that names none, from its arrival.");
+
+    /** IP number of the node. */
+    public static final SettingKey HOST =
+            SettingKey.required("node", "host", SettingType.HOST, "IP number that callers and peers use.");
+
+    /** Address of the instance list. */
+    public static final SettingKey INSTANCE_LIST =
+            SettingKey.required("platform", "instance_list", SettingType.HTTP_URI, "Address of the instance list.");
+
+    /** Largest body of a call. */
+    public static final SettingKey MOST_BODY_BYTES =
+            SettingKey.number("calls", "most_body_bytes", 1_048_576, 1_024, 16_777_216, "Largest body of a call.");
+
+    /** Most calls in flight. */
+    public static final SettingKey MOST_OPEN_CALLS =
+            SettingKey.number("calls", "most_open_calls", 4_096, 1, 1_000_000, "Most calls in flight on the node.");
+
+    /** Name of the node. */
+    public static final SettingKey NAME = SettingKey.required("node", "name", SettingType.NAME, "Name of the node.");
+
+    /** Address of the Object API. */
+    public static final SettingKey OBJECT_API =
+            SettingKey.required("platform", "object_api", SettingType.HTTP_URI, "Address of the Object API.");
+
+    /** File with the operators' key. */
+    public static final SettingKey OPERATOR_KEY_FILE =
+            SettingKey.required("operators", "key_file", SettingType.FILE, "File with the key that operators show.");
+
+    /** File with the key shared by all nodes. */
+    public static final SettingKey PEER_KEY_FILE =
+            SettingKey.required("peers", "key_file", SettingType.FILE, "File with the key shared by all nodes.");
+
+    /** Port for peers. */
+    public static final SettingKey PEER_PORT = SettingKey.port("node", "peer_port", "Port for peers.");
+
+    /** Region of the node. */
+    public static final SettingKey REGION =
+            SettingKey.required("node", "region", SettingType.NAME, "Region of the node.");
+
+    /** Peers to contact when the Object API cannot be reached. */
+    public static final SettingKey SEEDS = SettingKey.optional(
+            "peers", "seeds", SettingType.ADDRESSES, "", "Peers to contact when the Object API cannot be reached.");
+
+    /** Time after a stop request at which streams are handed over. */
+    public static final SettingKey STOP_GRACE_MS = SettingKey.number(
+            "calls",
+            "stop_grace_ms",
+            30_000,
+            0,
+            3_600_000,
+            "Time after a stop request at which streams are handed to peers.");
+
+    /** Most events kept for a trace. */
+    public static final SettingKey TRACE_EVENTS = SettingKey.number(
+            "trace", "most_events", 0, 0, 10_000_000, "Most events kept for a trace from the start; zero keeps none.");
+
+    /** Availability zone of the node. */
+    public static final SettingKey ZONE =
+            SettingKey.required("node", "zone", SettingType.NAME, "Availability zone of the node.");
+
+    private NodeKeys() {}
+
+    /**
+     * Returns all keys.
+     *
+     * @return the keys in the order of the settings page
+     */
+    public static List<SettingKey> all() {
+        return List.of(
+                NAME,
+                CELL,
+                REGION,
+                ZONE,
+                HOST,
+                CALLER_PORT,
+                PEER_PORT,
+                OBJECT_API,
+                CLOUD_API,
+                INSTANCE_LIST,
+                SEEDS,
+                PEER_KEY_FILE,
+                OPERATOR_KEY_FILE,
+                ADDRESS_LIFETIME_MS,
+                DEFAULT_DEADLINE_MS,
+                MOST_BODY_BYTES,
+                MOST_OPEN_CALLS,
+                STOP_GRACE_MS,
+                TRACE_EVENTS);
+    }
+}
--- /dev/null
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallParser.java
@@ -0,0 +1,135 @@
+package org.lovagethread.node.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.lovagethread.core.call.CallKind;
+import org.lovagethread.core.call.CallRequest;
+import org.lovagethread.platform.Digests;
+import org.lovagethread.platform.Json;
+import ratpack.http.Headers;
+
+/** Reads calls from HTTP requests and refuses malformed ones. */
+final class CallParser {
+    static final String CLASS_HEADER = "X-Class";
+    static final String CUSTOMER_HEADER = "X-Customer";
+    static final String DEADLINE_HEADER = "X-Deadline-Millis";
+    static final String KEY_HEADER = "Idempotency-Key";
+    static final String LAST_CHUNK_HEADER = "X-Last-Chunk";
+    static final String REQUEST_HEADER = "X-Request-Id";
+
+    private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final Pattern IDENTIFIER = Pattern.compile("[A-Za-z0-9._-]{1,128}");
+    private static final int MOST_TOKENS = 100_000;
+    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+    private static final int PREFIX_CHARACTERS = 512;
+    private static final Pattern TARGET =
+            Pattern.compile("[A-Za-z0-9/_.~%-]{1,512}(\\?[A-Za-z0-9/_.~%&=+,:-]{0,2048})?");
+
+    private final Headers headers;
+    private final String service;
+    private final long defaultDeadlineMillis;
+
+    CallParser(Headers headers, String service, long defaultDeadlineMillis) {
+        this.headers = headers;
+        this.service = service;
+        this.defaultDeadlineMillis = defaultDeadlineMillis;
+    }
+
+    /** Reads a model call. */
+    Either<String, CallRequest> generate(long callId, String body) {
+        JsonNode json;
+        try {
+            json = Json.mapper().readTree(body);
+        } catch (JsonProcessingException e) {
+            return Either.left("body: not JSON");
+        }
+        if (json == null || !json.path("prompt").isTextual()) {
+            return Either.left("body.prompt: a text is required");
+        }
+        int maxTokens = json.path("maxTokens").asInt(0);
+        if (maxTokens < 1 || maxTokens > MOST_TOKENS) {
+            return Either.left("body.maxTokens: allowed 1 to " + MOST_TOKENS);
+        }
+        String prompt = json.path("prompt").asText();
+        String prefix = prompt.substring(0, Math.min(prompt.length(), PREFIX_CHARACTERS));
+        return common(CallRequest.builder(callId, CallKind.GENERATE)
+                .bodyDigest(digest(body))
+                .prefixKey(digest(prefix))
+                .promptTokens(prompt.length() / CHARACTERS_PER_TOKEN)
+                .maxTokens(maxTokens));
+    }
+
+    /** Reads a plain call; a GET is a read and a POST is a submission. */
+    Either<String, CallRequest> plain(long callId, String method, String target, String body) {
+        if (!TARGET.matcher(target).matches() || target.contains("..")) {
+            return Either.left("path: allowed letters, digits and / _ . ~ % - with a query");
+        }
+        CallKind kind = method.equals("GET") ? CallKind.READ : CallKind.SUBMIT;
+        Optional<String> key = Optional.ofNullable(headers.get(KEY_HEADER));
+        if (key.isPresent() && !IDENTIFIER.matcher(key.get()).matches()) {
+            return Either.left(KEY_HEADER + ": allowed letters, digits and . _ -, 1 to 128 characters");
+        }
+        return common(CallRequest.builder(callId, kind)
+                .bodyDigest(digest(target + "\n" + body))
+                .idempotencyKey(key));
+    }
+
+    private Either<String, CallRequest> common(CallRequest.Builder builder) {
+        String requestId = header(REQUEST_HEADER);
+        String customer = header(CUSTOMER_HEADER);
+        String className = header(CLASS_HEADER);
+        if (!IDENTIFIER.matcher(requestId).matches()) {
+            return Either.left(REQUEST_HEADER + ": allowed letters, digits and . _ -, 1 to 128 characters");
+        }
+        if (!NAME.matcher(customer).matches()) {
+            return Either.left(CUSTOMER_HEADER + ": allowed lower-case letters, digits and hyphens");
+        }
+        if (!NAME.matcher(service).matches()) {
+            return Either.left("service: allowed lower-case letters, digits and hyphens");
+        }
+        if (!className.isEmpty() && !NAME.matcher(className).matches()) {
+            return Either.left(CLASS_HEADER + ": allowed lower-case letters, digits and hyphens");
+        }
+        Optional<Long> deadline = number(DEADLINE_HEADER, defaultDeadlineMillis);
+        Optional<Long> lastChunk = number(LAST_CHUNK_HEADER, 0);
+        if (deadline.isEmpty()) {
+            return Either.left(DEADLINE_HEADER + ": allowed milliseconds since the epoch");
+        }
+        if (lastChunk.isEmpty() || lastChunk.get() > MOST_TOKENS) {
+            return Either.left(LAST_CHUNK_HEADER + ": allowed 0 to " + MOST_TOKENS);
+        }
+        return Either.right(builder.requestId(requestId)
+                .customer(customer)
+                .service(service)
+                .className(className)
+                .deadlineMillis(deadline.get())
+                .fromChunk(lastChunk.get().intValue())
+                .build());
+    }
+
+    private static String digest(String text) {
+        return Digests.sha256(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private String header(String name) {
+        String value = headers.get(name);
+        return value == null ? "" : value;
+    }
+
+    private Optional<Long> number(String name, long fallback) {
+        String value = headers.get(name);
+        if (value == null) {
+            return Optional.of(fallback);
+        }
+        try {
+            long number = Long.parseLong(value);
+            return number >= 0 ? Optional.of(number) : Optional.empty();
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface for callers and operators. */
+package org.lovagethread.node.caller;
--- /dev/null
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/telemetry/JsonLogFormatter.java
@@ -0,0 +1,47 @@
+package org.lovagethread.node.telemetry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.logging.Formatter;
+import java.util.logging.LogRecord;
+import org.lovagethread.platform.Json;
+
+/** Writes each log record as one line of JSON. */
+public final class JsonLogFormatter extends Formatter {
+    private final String node;
+
+    /**
+     * Creates a formatter.
+     *
+     * @param node the name of the node, repeated in each line
+     */
+    public JsonLogFormatter(String node) {
+        this.node = node;
+    }
+
+    @Override
+    public String format(LogRecord record) {
+        String message = formatMessage(record);
+        int space = message.indexOf(' ');
+        ObjectNode line = Json.mapper()
+                .createObjectNode()
+                .put("at", record.getInstant().toString())
+                .put("level", record.getLevel().getName())
+                .put("node", node)
+                .put("event", space < 0 ? message : message.substring(0, space))
+                .put("detail", space < 0 ? "" : message.substring(space + 1))
+                .put("logger", record.getLoggerName());
+        if (record.getThrown() != null) {
+            StringWriter trace = new StringWriter();
+            record.getThrown().printStackTrace(new PrintWriter(trace, true));
+            line.put("trace", trace.toString());
+        }
+        try {
+            return Json.mapper().writeValueAsString(line) + "\n";
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a log line cannot be written as JSON", e);
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Logs, metrics and explanations of decisions. */
+package org.lovagethread.node.telemetry;
--- /dev/null
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/Digests.java
@@ -0,0 +1,25 @@
+package org.lovagethread.platform;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Computes digests. */
+public final class Digests {
+
+    private Digests() {}
+
+    /**
+     * Computes the SHA-256 digest of some bytes.
+     *
+     * @param bytes the bytes; may be empty
+     * @return the digest in lower-case hexadecimal
+     */
+    public static String sha256(byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("the platform lacks SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/Json.java
@@ -0,0 +1,27 @@
+package org.lovagethread.platform;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+
+/** Holds the JSON mapper that all forms share. */
+public final class Json {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .addModule(new Jdk8Module())
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+            .build();
+
+    private Json() {}
+
+    /**
+     * Returns the shared mapper, which must not be reconfigured.
+     *
+     * @return the mapper
+     */
+    public static ObjectMapper mapper() {
+        return MAPPER;
+    }
+}
--- /dev/null
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/NodeDirectory.java
@@ -0,0 +1,88 @@
+package org.lovagethread.platform.objects;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.lovagethread.core.store.StoreStatus;
+import org.lovagethread.platform.Json;
+
+/** Lists the nodes of one cell in the Object API, so that a new node finds its peers. */
+public final class NodeDirectory {
+    /** Start of the paths of all entries. */
+    public static final String PREFIX = "nodes/";
+
+    /** Time for which an entry is valid, in milliseconds. */
+    public static final long ENTRY_LIFETIME_MILLIS = 120_000;
+
+    private final String cell;
+    private final ObjectApiClient objects;
+
+    /**
+     * Creates the directory of one cell.
+     *
+     * @param objects the client to use
+     * @param cell the name of the cell
+     */
+    public NodeDirectory(ObjectApiClient objects, String cell) {
+        this.objects = objects;
+        this.cell = cell;
+    }
+
+    /**
+     * Lists the entries that are in date.
+     *
+     * @param nowMillis the present time in milliseconds since the epoch
+     * @return the entries, or empty if the service gave no answer
+     */
+    public Optional<List<NodeEntry>> list(long nowMillis) {
+        return objects.list(PREFIX + cell + "/").join().map(listed -> parse(listed, nowMillis));
+    }
+
+    /**
+     * Writes the entry of a node over any earlier one of the same name.
+     *
+     * @param entry the entry
+     * @return true if the service confirmed it
+     */
+    public boolean register(NodeEntry entry) {
+        byte[] value;
+        try {
+            value = Json.mapper().writeValueAsBytes(entry);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a node entry cannot be written as JSON", e);
+        }
+        String path = PREFIX + cell + "/" + entry.node();
+        long version = objects.read(path).join().version();
+        return objects.write(path, version, value).join().status() == StoreStatus.WRITTEN;
+    }
+
+    /**
+     * Removes the entry of a node that has stopped.
+     *
+     * @param node the name of the node
+     */
+    public void remove(String node) {
+        String path = PREFIX + cell + "/" + node;
+        ObjectReply reply = objects.read(path).join();
+        if (reply.status() == StoreStatus.FOUND) {
+            objects.remove(path, reply.version()).join();
+        }
+    }
+
+    private static List<NodeEntry> parse(List<ListedObject> listed, long nowMillis) {
+        List<NodeEntry> entries = new ArrayList<>();
+        for (ListedObject object : listed) {
+            try {
+                NodeEntry entry = Json.mapper().readValue(object.value(), NodeEntry.class);
+                if (nowMillis <= entry.notAfterMillis()) {
+                    entries.add(entry);
+                }
+            } catch (JsonProcessingException e) {
+                System.getLogger(NodeDirectory.class.getName())
+                        .log(System.Logger.Level.WARNING, "node-entry-unreadable {0}", object.path());
+            }
+        }
+        return entries;
+    }
+}
--- /dev/null
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/ObjectApiClient.java
@@ -0,0 +1,178 @@
+package org.lovagethread.platform.objects;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.lovagethread.core.store.StoreStatus;
+import org.lovagethread.platform.Json;
+
+/**
+ * Talks to the Object API over HTTP.
+ *
+ * <p>No operation throws for a failure of the service. A write without an answer is reported as
+ * {@link StoreStatus#NO_ANSWER}, since it may have taken effect.
+ */
+public final class ObjectApiClient {
+    /** Time after which an operation counts as unanswered, in milliseconds. */
+    public static final long TIMEOUT_MILLIS = 1_000;
+
+    private static final int CONFLICT = 412;
+    private static final int MISSING = 404;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final URI base;
+    private final HttpClient http;
+
+    /**
+     * Creates a client.
+     *
+     * @param base the address of the service, for example {@code http://127.0.0.1:7000}
+     */
+    public ObjectApiClient(URI base) {
+        this.base = Objects.requireNonNull(base, "base");
+        this.http = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(Duration.ofMillis(TIMEOUT_MILLIS))
+                .build();
+    }
+
+    /**
+     * Reads an object.
+     *
+     * @param path the path of the object
+     * @return {@link StoreStatus#FOUND} with the value, MISSING, REJECTED or NO_ANSWER
+     */
+    public CompletableFuture<ObjectReply> read(String path) {
+        HttpRequest request = request("/objects/" + path, TIMEOUT_MILLIS).GET().build();
+        return send(request, StoreStatus.FOUND);
+    }
+
+    /**
+     * Removes an object if it has the expected version.
+     *
+     * @param path the path of the object
+     * @param expectedVersion the version that must be stored
+     * @return WRITTEN, CONFLICT, MISSING, REJECTED or NO_ANSWER
+     */
+    public CompletableFuture<ObjectReply> remove(String path, long expectedVersion) {
+        HttpRequest request = request("/objects/" + path, TIMEOUT_MILLIS)
+                .header("If-Match", quoted(expectedVersion))
+                .DELETE()
+                .build();
+        return send(request, StoreStatus.WRITTEN);
+    }
+
+    /**
+     * Lists the objects under a prefix.
+     *
+     * @param prefix the start of the paths
+     * @return the objects, or empty if the service gave no answer
+     */
+    public CompletableFuture<Optional<List<ListedObject>>> list(String prefix) {
+        HttpRequest request = request("/list/" + prefix, TIMEOUT_MILLIS).GET().build();
+        return http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+                .thenApply(ObjectApiClient::listing)
+                .exceptionally(failure -> Optional.empty());
+    }
+
+    /**
+     * Waits until an object has a version other than the given one.
+     *
+     * @param path the path of the object
+     * @param knownVersion the version known already; zero if none
+     * @param waitMillis the longest wait
+     * @return the object as it is then, or the unchanged status if the wait ended without a change
+     */
+    public CompletableFuture<ObjectReply> watch(String path, long knownVersion, long waitMillis) {
+        String query = "?after=" + knownVersion + "&waitMillis=" + waitMillis;
+        HttpRequest request = request("/watch/" + path + query, waitMillis + TIMEOUT_MILLIS)
+                .GET()
+                .build();
+        return send(request, StoreStatus.FOUND);
+    }
+
+    /**
+     * Writes an object if it has the expected version.
+     *
+     * @param path the path of the object
+     * @param expectedVersion the version that must be stored; zero if no object may exist
+     * @param value the bytes to store
+     * @return WRITTEN, CONFLICT with what is stored, REJECTED or NO_ANSWER
+     */
+    public CompletableFuture<ObjectReply> write(String path, long expectedVersion, byte[] value) {
+        HttpRequest.Builder request = request("/objects/" + path, TIMEOUT_MILLIS);
+        if (expectedVersion == 0) {
+            request.header("If-None-Match", "*");
+        } else {
+            request.header("If-Match", quoted(expectedVersion));
+        }
+        request.PUT(HttpRequest.BodyPublishers.ofByteArray(value));
+        return send(request.build(), StoreStatus.WRITTEN);
+    }
+
+    private HttpRequest.Builder request(String path, long timeoutMillis) {
+        return HttpRequest.newBuilder(base.resolve(path)).timeout(Duration.ofMillis(timeoutMillis));
+    }
+
+    private CompletableFuture<ObjectReply> send(HttpRequest request, StoreStatus success) {
+        return http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+                .thenApply(response -> reply(response, success))
+                .exceptionally(ObjectApiClient::failure);
+    }
+
+    private static ObjectReply failure(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        boolean notSent = cause instanceof ConnectException;
+        return ObjectReply.of(notSent ? StoreStatus.REJECTED : StoreStatus.NO_ANSWER);
+    }
+
+    private static Optional<List<ListedObject>> listing(HttpResponse<byte[]> response) {
+        if (response.statusCode() != OK) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(Json.mapper().readValue(response.body(), new TypeReference<List<ListedObject>>() {}));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static String quoted(long version) {
+        return "\"" + version + "\"";
+    }
+
+    private static ObjectReply reply(HttpResponse<byte[]> response, StoreStatus success) {
+        return switch (response.statusCode()) {
+            case OK -> new ObjectReply(success, version(response), Optional.of(response.body()));
+            case CONFLICT -> conflict(response);
+            case MISSING -> ObjectReply.of(StoreStatus.MISSING);
+            case UNAVAILABLE -> ObjectReply.of(StoreStatus.REJECTED);
+            default -> ObjectReply.of(StoreStatus.NO_ANSWER);
+        };
+    }
+
+    private static ObjectReply conflict(HttpResponse<byte[]> response) {
+        long version = version(response);
+        Optional<byte[]> stored = version == 0 ? Optional.empty() : Optional.of(response.body());
+        return new ObjectReply(StoreStatus.CONFLICT, version, stored);
+    }
+
+    private static long version(HttpResponse<byte[]> response) {
+        return response.headers()
+                .firstValue("ETag")
+                .map(tag -> tag.replace("\"", ""))
+                .map(Long::parseLong)
+                .orElse(0L);
+    }
+}
--- /dev/null
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the Object API and typed access to the objects that the system keeps there. */
+package org.lovagethread.platform.objects;
--- /dev/null
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/sheet/SheetParser.java
@@ -0,0 +1,190 @@
+package org.lovagethread.platform.sheet;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.StringReader;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.apache.commons.csv.CSVException;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVParser;
+import org.apache.commons.csv.CSVRecord;
+import org.lovagethread.core.config.Customer;
+import org.lovagethread.core.config.PriorityClass;
+import org.lovagethread.core.config.Service;
+import org.lovagethread.core.config.ServiceKind;
+import org.lovagethread.platform.Digests;
+
+/**
+ * Reads the morning sheet, a CSV file as a spreadsheet exports it.
+ *
+ * <p>Byte order marks, CRLF line ends, quoted cells, empty rows and lines that start with {@code #} are accepted. A
+ * sheet with any mistake is refused whole.
+ */
+public final class SheetParser {
+    /** The columns of a sheet, in the order of the example sheets. */
+    public static final List<String> COLUMNS = List.of(
+            "record",
+            "name",
+            "service",
+            "kind",
+            "model",
+            "version",
+            "first_token_ms",
+            "between_tokens_ms",
+            "checks_fencing",
+            "requests_per_second",
+            "weight",
+            "priority");
+
+    /** Largest size of a sheet in bytes. */
+    public static final int MOST_BYTES = 16 * 1024 * 1024;
+
+    private static final int MOST_ERRORS = 20;
+
+    private final List<SheetError> errors = new ArrayList<>();
+    private final List<Service> services = new ArrayList<>();
+    private final List<Customer> customers = new ArrayList<>();
+    private final List<PriorityClass> classes = new ArrayList<>();
+    private final Set<String> names = new HashSet<>();
+
+    private SheetParser() {}
+
+    /**
+     * Reads a sheet.
+     *
+     * @param bytes the bytes of the file
+     * @return the declarations, or the mistakes in the order of their lines; at most twenty are listed
+     */
+    public static Either<List<SheetError>, Sheet> parse(byte[] bytes) {
+        if (bytes.length > MOST_BYTES) {
+            return Either.left(
+                    List.of(new SheetError(1, "", "found " + bytes.length + " bytes, allowed at most " + MOST_BYTES)));
+        }
+        return new SheetParser().read(bytes);
+    }
+
+    private Either<List<SheetError>, Sheet> read(byte[] bytes) {
+        try {
+            String text = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
+            readRows(text.startsWith("\uFEFF") ? text.substring(1) : text);
+        } catch (CharacterCodingException e) {
+            errors.add(new SheetError(1, "", "found bytes that are not UTF-8 text"));
+        } catch (IOException | UncheckedIOException | IllegalArgumentException e) {
+            errors.add(new SheetError(1, "", "the file is not a CSV table: " + e.getMessage()));
+        }
+        if (errors.isEmpty() && services.isEmpty()) {
+            errors.add(new SheetError(1, "", "found no service, at least one is required"));
+        }
+        if (!errors.isEmpty()) {
+            return Either.left(List.copyOf(errors.subList(0, Math.min(errors.size(), MOST_ERRORS))));
+        }
+        return Either.right(new Sheet(Digests.sha256(bytes), services, customers, classes));
+    }
+
+    private void readRows(String text) throws IOException {
+        CSVFormat format = CSVFormat.DEFAULT
+                .builder()
+                .setHeader()
+                .setSkipHeaderRecord(true)
+                .setIgnoreEmptyLines(true)
+                .setCommentMarker('#')
+                .setTrim(true)
+                .get();
+        try (CSVParser parser = CSVParser.parse(new StringReader(text), format)) {
+            if (!checkHeader(parser.getHeaderNames())) {
+                return;
+            }
+            for (CSVRecord record : parser) {
+                boolean blank = record.stream().allMatch(String::isBlank);
+                if (!blank) {
+                    readRow(new SheetRow(record, parser.getCurrentLineNumber(), errors));
+                }
+            }
+        } catch (CSVException e) {
+            errors.add(new SheetError(1, "", "the file is not a CSV table: " + e.getMessage()));
+        }
+        checkReferences();
+    }
+
+    private boolean checkHeader(List<String> found) {
+        for (String column : found) {
+            if (!column.isBlank() && !COLUMNS.contains(column)) {
+                errors.add(new SheetError(1, column, "unknown column, allowed " + String.join(", ", COLUMNS)));
+            }
+        }
+        for (String column : List.of("record", "name")) {
+            if (!found.contains(column)) {
+                errors.add(new SheetError(1, column, "the column is missing"));
+            }
+        }
+        return errors.isEmpty();
+    }
+
+    private void checkReferences() {
+        for (PriorityClass entry : classes) {
+            boolean declared =
+                    services.stream().anyMatch(service -> service.name().equals(entry.service()));
+            if (!declared) {
+                errors.add(new SheetError(
+                        1,
+                        "service",
+                        "class \"" + entry.name() + "\" names the unknown service \"" + entry.service() + "\""));
+            }
+        }
+    }
+
+    private void readRow(SheetRow row) {
+        String kind = row.text("record");
+        int errorsBefore = errors.size();
+        String name = row.name("name");
+        switch (kind) {
+            case "service" -> readService(row, name, errorsBefore);
+            case "customer" -> readCustomer(row, name, errorsBefore);
+            case "class" -> readClass(row, name, errorsBefore);
+            default -> row.error("record", "found \"" + kind + "\", allowed service, customer or class");
+        }
+        String identity = kind + ' ' + name + (kind.equals("class") ? ' ' + row.text("service") : "");
+        if (!names.add(identity)) {
+            row.error("name", "found \"" + name + "\" a second time for the record " + kind);
+        }
+    }
+
+    private void readClass(SheetRow row, String name, int errorsBefore) {
+        String service = row.required("service");
+        int priority = row.number("priority", 0, 9);
+        if (errors.size() == errorsBefore) {
+            classes.add(new PriorityClass(name, service, priority));
+        }
+    }
+
+    private void readCustomer(SheetRow row, String name, int errorsBefore) {
+        int rate = row.number("requests_per_second", 1, 1_000_000);
+        int weight = row.number("weight", 1, 1_000);
+        if (errors.size() == errorsBefore) {
+            customers.add(new Customer(name, rate, weight));
+        }
+    }
+
+    private void readService(SheetRow row, String name, int errorsBefore) {
+        ServiceKind kind = row.word("kind", ServiceKind.values()).orElse(ServiceKind.PLAIN);
+        boolean model = kind == ServiceKind.MODEL;
+        String modelName = model ? row.required("model") : "";
+        String version = model ? row.required("version") : "";
+        int firstToken = row.number("first_token_ms", 1, 3_600_000);
+        int betweenTokens = model ? row.number("between_tokens_ms", 1, 60_000) : 0;
+        boolean checksFencing = row.flag("checks_fencing");
+        if (errors.size() == errorsBefore) {
+            services.add(new Service(name, kind, modelName, version, firstToken, betweenTokens, checksFencing));
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/sheet/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of the morning sheet into the typed configuration. */
+package org.lovagethread.platform.sheet;
--- /dev/null
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/trace/package-info.java
@@ -0,0 +1,2 @@
+/** The file form of recorded traces. */
+package org.lovagethread.platform.trace;
--- /dev/null
+++ b/lovagethread-wire/generate.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Generates the Java classes from the .proto files again. The result is committed; the build does not run this.
+set -euo pipefail
+cd "$(dirname "$0")"
+version=4.34.1
+mvn -B -q dependency:copy -Dartifact=com.google.protobuf:protoc:$version:exe:linux-x86_64 -DoutputDirectory=target
+protoc="target/protoc-$version-linux-x86_64.exe"
+chmod +x "$protoc"
+"$protoc" --java_out=src/main/java --proto_path=src/main/proto src/main/proto/peer.proto
--- /dev/null
+++ b/lovagethread-wire/src/main/java/org/lovagethread/wire/PeerChannelHandler.java
@@ -0,0 +1,79 @@
+package org.lovagethread.wire;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
+import org.lovagethread.wire.generated.Frame;
+import org.lovagethread.wire.generated.Hello;
+
+/** Authenticates one connection and hands its messages to the listener; closes the connection on bad input. */
+final class PeerChannelHandler extends SimpleChannelInboundHandler<Frame> {
+    private static final Logger LOG = System.getLogger(PeerChannelHandler.class.getName());
+
+    private final PeerKey key;
+    private final PeerListener listener;
+    private final byte[] nonce;
+    private final String self;
+    private String peer = "";
+    private boolean authenticated;
+
+    PeerChannelHandler(String self, PeerKey key, PeerListener listener) {
+        this.self = self;
+        this.key = key;
+        this.listener = listener;
+        this.nonce = key.nonce();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        Hello hello = Hello.newBuilder()
+                .setNode(self)
+                .setNonce(ByteString.copyFrom(nonce))
+                .build();
+        ctx.writeAndFlush(Frame.newBuilder().setHello(hello).build());
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        LOG.log(Level.WARNING, "peer-connection-closed {0}: {1}", ctx.channel().remoteAddress(), cause.toString());
+        ctx.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case HELLO -> helloReceived(ctx, frame.getHello());
+            case PROOF -> proofReceived(ctx, frame.getProof().getSignature().toByteArray());
+            default -> messageReceived(ctx, frame);
+        }
+    }
+
+    private void helloReceived(ChannelHandlerContext ctx, Hello hello) {
+        peer = hello.getNode();
+        byte[] signature = key.sign(hello.getNonce().toByteArray(), self);
+        Frame.Builder proof = Frame.newBuilder();
+        proof.getProofBuilder().setSignature(ByteString.copyFrom(signature));
+        ctx.writeAndFlush(proof.build());
+    }
+
+    private void messageReceived(ChannelHandlerContext ctx, Frame frame) {
+        if (!authenticated) {
+            throw new IllegalArgumentException("message before authentication");
+        }
+        Optional<PeerMessage> message = PeerCodec.decode(frame);
+        message.ifPresent(received -> listener.received(received, reply -> ctx.writeAndFlush(PeerCodec.encode(reply))
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE)));
+    }
+
+    private void proofReceived(ChannelHandlerContext ctx, byte[] signature) {
+        if (peer.isEmpty() || !key.verify(nonce, peer, signature)) {
+            throw new IllegalArgumentException("wrong peer key");
+        }
+        authenticated = true;
+        ctx.fireUserEventTriggered(PeerTransport.AUTHENTICATED);
+    }
+}
--- /dev/null
+++ b/lovagethread-wire/src/main/java/org/lovagethread/wire/PeerTransport.java
@@ -0,0 +1,183 @@
+package org.lovagethread.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.lovagethread.wire.generated.Frame;
+
+/**
+ * Carries messages between nodes over TCP.
+ *
+ * <p>Messages are soft state: one that cannot be sent now is dropped, and the sender is told so. Outbound connections
+ * are opened when first needed and opened again after a failure, at most once in {@link #RECONNECT_MILLIS}.
+ */
+public final class PeerTransport implements AutoCloseable {
+    /** Event fired when the other side of a connection has proved that it holds the peer key. */
+    static final Object AUTHENTICATED = new Object();
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final long RECONNECT_MILLIS = 500;
+    private static final int LENGTH_BYTES = 4;
+    private static final int MOST_FRAME_BYTES = 4 * 1024 * 1024;
+    private static final WriteBufferWaterMark PENDING_BYTES =
+            new WriteBufferWaterMark(4 * 1024 * 1024, 8 * 1024 * 1024);
+
+    private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("peers", true));
+    private final PeerKey key;
+    private final PeerListener listener;
+    private final Map<String, Connection> outbound = new ConcurrentHashMap<>();
+    private final String self;
+    private Channel server;
+
+    /**
+     * Creates a transport that does not listen yet.
+     *
+     * @param self the name of this node
+     * @param key the secret shared by all nodes
+     * @param listener takes the messages of authenticated peers
+     */
+    public PeerTransport(String self, PeerKey key, PeerListener listener) {
+        this.self = self;
+        this.key = key;
+        this.listener = listener;
+    }
+
+    private static final class Connection {
+        private Channel channel;
+        private volatile boolean authenticated;
+        private long retryAtNanos = System.nanoTime();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully();
+    }
+
+    /**
+     * Starts to listen for peers.
+     *
+     * @param host the address to listen on
+     * @param port the port to listen on; zero for a free one
+     * @return the port
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public int listen(String host, int port) throws InterruptedException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Initializer(null));
+        server = bootstrap.bind(host, port).sync().channel();
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    /** Closes connections to addresses that are no longer wanted. */
+    public void retain(java.util.Set<String> addresses) {
+        outbound.entrySet().removeIf(entry -> {
+            boolean unwanted = !addresses.contains(entry.getKey());
+            if (unwanted && entry.getValue().channel != null) {
+                entry.getValue().channel.close();
+            }
+            return unwanted;
+        });
+    }
+
+    /**
+     * Sends a message if the connection is open and has room.
+     *
+     * @param address the host and port of the peer
+     * @param message the message
+     * @return true if the message was handed to the connection; false if it was dropped
+     */
+    public boolean send(String address, PeerMessage message) {
+        Connection connection = outbound.computeIfAbsent(address, unused -> new Connection());
+        Channel channel;
+        synchronized (connection) {
+            channel = connection.channel;
+            boolean open = channel != null && channel.isOpen();
+            if (!open) {
+                connect(address, connection);
+                return false;
+            }
+        }
+        if (!connection.authenticated || !channel.isWritable()) {
+            return false;
+        }
+        channel.writeAndFlush(PeerCodec.encode(message));
+        return true;
+    }
+
+    private void connect(String address, Connection connection) {
+        if (System.nanoTime() < connection.retryAtNanos) {
+            return;
+        }
+        connection.retryAtNanos = System.nanoTime() + RECONNECT_MILLIS * 1_000_000;
+        connection.authenticated = false;
+        int colon = address.lastIndexOf(':');
+        ChannelFuture future = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, PENDING_BYTES)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new Initializer(connection))
+                .connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        connection.channel = future.channel();
+    }
+
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+        private final Connection connection;
+
+        private Initializer(Connection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(new LengthFieldBasedFrameDecoder(MOST_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                    .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
+                    .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                    .addLast(new ProtobufEncoder())
+                    .addLast(new PeerChannelHandler(self, key, listener));
+            if (connection != null) {
+                channel.pipeline().addLast(new AuthenticationMark(connection));
+            }
+        }
+    }
+
+    private static final class AuthenticationMark extends ChannelInboundHandlerAdapter {
+        private final Connection connection;
+
+        private AuthenticationMark(Connection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event == AUTHENTICATED) {
+                connection.authenticated = true;
+            }
+        }
+    }
+}
