--- a/lovagethread-core/src/main/java/org/lovagethread/core/Core.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/Core.java
@@ -25,6 +25,9 @@
  * does no input or output, reads no clock and is used by one thread.
  */
 public final class Core {
+    /** Time before the reclaim of this node's own instance at which streams are handed over, in milliseconds. */
+    private static final long HAND_OVER_MARGIN_MILLIS = 3_000;
+
     private static final long STOP_SLACK_MILLIS = 2 * MemberTable.HEARTBEAT_PERIOD_MILLIS;
 
     private final Calls calls;
@@ -37,6 +40,7 @@
     private long heartbeatSequence;
     private long nextHeartbeatMillis;
     private boolean stopping;
+    private long handOverAtMillis;
     private long serveUntilMillis;
     private boolean exited;
 
@@ -49,7 +53,7 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         members = new MemberTable(settings);
         Router router = new Router(settings.region(), settings.zone(), new SplittableRandom(settings.seed()));
-        calls = new Calls(settings, () -> configuration, limits, router, upstreams, this::ownerGone, out);
+        calls = new Calls(settings, () -> configuration, limits, router, upstreams, members, this::ownerGone, out);
     }
 
     /**
@@ -103,8 +107,12 @@
             limits.nodes(listed.nodes().size());
         } else if (event instanceof Event.StatusAsked asked) {
             out.add(new Command.AnswerStatus(asked.callId(), status(nowMillis)));
+        } else if (event instanceof Event.CallAdopted adopted) {
+            calls.adopted(adopted, stopping, nowMillis);
+        } else if (event instanceof Event.HandOverReplied replied) {
+            calls.handOverReplied(replied, nowMillis);
         } else if (event instanceof Event.StopRequested) {
-            stopRequested(nowMillis);
+            stopRequested(nowMillis + settings.stopGraceMillis(), nowMillis);
         } else {
             throw new IllegalArgumentException(
                     "unknown event " + event.getClass().getName());
@@ -177,6 +185,10 @@
     }
 
     private void reclaimNoticed(LeavingUpstream mark, long nowMillis) {
+        if (mark.upstream().equals(settings.node())) {
+            stopRequested(mark.deadlineMillis() - HAND_OVER_MARGIN_MILLIS, nowMillis);
+            return;
+        }
         if (upstreams.markLeaving(mark.upstream(), mark.deadlineMillis())) {
             leaving(List.of(mark), nowMillis);
         }
@@ -194,7 +206,8 @@
                 upstreams.views());
     }
 
-    private void stopRequested(long nowMillis) {
+    private void stopRequested(long handOverBy, long nowMillis) {
+        handOverAtMillis = stopping ? Math.min(handOverAtMillis, handOverBy) : handOverBy;
         if (stopping) {
             return;
         }
@@ -209,6 +222,9 @@
             upstreams.expire(nowMillis);
             heartbeat(nowMillis);
         }
+        if (stopping && nowMillis >= handOverAtMillis) {
+            calls.handOver(nowMillis);
+        }
         boolean quiet = stopping && nowMillis >= serveUntilMillis && calls.unfinished() == 0;
         if (quiet && !exited) {
             exited = true;
--- a/lovagethread-core/src/main/java/org/lovagethread/core/CoreSettings.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/CoreSettings.java
@@ -11,6 +11,7 @@
     private final String peerAddress;
     private final String region;
     private final long seed;
+    private final long stopGraceMillis;
     private final String zone;
 
     private CoreSettings(Builder builder) {
@@ -21,6 +22,7 @@
         peerAddress = Objects.requireNonNull(builder.peerAddress, "peer address");
         region = Objects.requireNonNull(builder.region, "region");
         seed = builder.seed;
+        stopGraceMillis = Checks.inRange(builder.stopGraceMillis, 0, 3_600_000, "stop grace in ms");
         zone = Objects.requireNonNull(builder.zone, "zone");
     }
 
@@ -97,6 +99,15 @@
         return seed;
     }
 
+    /**
+     * Returns how long after a stop request streams may finish before they are handed to peers.
+     *
+     * @return the time in milliseconds
+     */
+    public long stopGraceMillis() {
+        return stopGraceMillis;
+    }
+
     /**
      * Returns the availability zone of the node.
      *
@@ -115,6 +126,7 @@
         private String peerAddress = "";
         private String region = "";
         private long seed;
+        private long stopGraceMillis = 30_000;
         private String zone = "";
 
         private Builder(String node) {
@@ -197,6 +209,17 @@
             return this;
         }
 
+        /**
+         * Sets how long after a stop request streams may finish before they are handed to peers.
+         *
+         * @param value the time in milliseconds
+         * @return this builder
+         */
+        public Builder stopGraceMillis(long value) {
+            stopGraceMillis = value;
+            return this;
+        }
+
         /**
          * Sets the availability zone.
          *
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/Call.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/Call.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.lovagethread.core.store.Claim;
 import org.lovagethread.core.store.StoredAnswer;
@@ -20,6 +21,8 @@
     boolean callerPresent = true;
     long waitDeadlineMillis;
     long forgetAtMillis;
+    int handOverTries;
+    String successorAddress = "";
 
     /** Claim as this call last wrote, or wants to write, it. */
     Claim claim;
@@ -41,6 +44,11 @@
         return request.callId();
     }
 
+    /** Returns the attempt that may add to the stream: the one started last. */
+    Optional<Attempt> owner() {
+        return attempts.isEmpty() ? Optional.empty() : Optional.of(attempts.get(attempts.size() - 1));
+    }
+
     /** Returns the text that identifies the request to a caller that comes back. */
     String streamKey() {
         return request.customer() + '\n' + request.service() + '\n' + request.requestId() + '\n' + request.bodyDigest();
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/CallPhase.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/CallPhase.java
@@ -10,6 +10,8 @@
     WAITING,
     /** At least one attempt is in flight. */
     RUNNING,
+    /** A peer was asked to carry the stream on. */
+    HANDING_OVER,
     /** The outcome is being recorded in the claim. */
     RECORDING,
     /** The call has ended; its stream is kept for a caller that comes back. */
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/CallRequest.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/CallRequest.java
@@ -59,6 +59,29 @@
         return new Builder(callId, kind);
     }
 
+    /**
+     * Returns a copy with another number.
+     *
+     * @param number the number of the call in this process
+     * @return the copy
+     */
+    public CallRequest numbered(long number) {
+        return new CallRequest(
+                number,
+                requestId,
+                customer,
+                service,
+                kind,
+                className,
+                idempotencyKey,
+                bodyDigest,
+                prefixKey,
+                promptTokens,
+                maxTokens,
+                fromChunk,
+                deadlineMillis);
+    }
+
     /** Builds a {@link CallRequest} step by step. */
     public static final class Builder {
         private final long callId;
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/Calls.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/Calls.java
@@ -13,6 +13,7 @@
 import org.lovagethread.core.limit.CustomerLimits;
 import org.lovagethread.core.limit.RetryBudget;
 import org.lovagethread.core.member.LeavingUpstream;
+import org.lovagethread.core.member.MemberTable;
 import org.lovagethread.core.upstream.Router;
 import org.lovagethread.core.upstream.UpstreamTable;
 
@@ -22,6 +23,7 @@
     private final RetryBudget budget = new RetryBudget();
     private final Supplier<Optional<Configuration>> configuration;
     private final Dispatcher dispatcher;
+    private final HandOverFlow handOvers;
     private final Outbox out;
     private final ReclaimPlanner reclaims;
     private final StreamFlow streams;
@@ -36,6 +38,7 @@
      * @param limits the customers' rate limits
      * @param router chooses upstreams
      * @param upstreams the known upstreams
+     * @param members the peers
      * @param ownerGone tests whether the owner of a claim, named by its token, is known to have died by a given time
      * @param out takes the commands
      */
@@ -45,6 +48,7 @@
             CustomerLimits limits,
             Router router,
             UpstreamTable upstreams,
+            MemberTable members,
             BiPredicate<String, Long> ownerGone,
             Outbox out) {
         this.configuration = configuration;
@@ -53,9 +57,46 @@
         dispatcher = new Dispatcher(configuration, out, router, table, upstreams);
         reclaims = new ReclaimPlanner(dispatcher, table);
         streams = new StreamFlow(budget, dispatcher, out, table);
+        handOvers = new HandOverFlow(dispatcher, members, out, streams, table);
         submits = new SubmitFlow(settings, dispatcher, out, table, ownerGone);
     }
 
+    /**
+     * Handles a stream that a stopping peer offers.
+     *
+     * @param event the offer
+     * @param selfStopping whether this node plans to stop itself
+     * @param nowMillis the present time in milliseconds since the epoch
+     */
+    public void adopted(Event.CallAdopted event, boolean selfStopping, long nowMillis) {
+        if (selfStopping || configuration.get().isEmpty()) {
+            out.add(new Command.AnswerAdoption(event.request().callId(), false));
+            return;
+        }
+        Call call = new Call(event.request());
+        table.add(call);
+        streams.adopt(call, event.heldChunks(), nowMillis);
+    }
+
+    /**
+     * Offers unfinished streams to peers.
+     *
+     * @param nowMillis the present time in milliseconds since the epoch
+     */
+    public void handOver(long nowMillis) {
+        handOvers.handOver(nowMillis);
+    }
+
+    /**
+     * Handles a peer's answer to an offered stream.
+     *
+     * @param event the answer
+     * @param nowMillis the present time in milliseconds since the epoch
+     */
+    public void handOverReplied(Event.HandOverReplied event, long nowMillis) {
+        table.call(event.callId()).ifPresent(call -> handOvers.replied(call, event.accepted(), nowMillis));
+    }
+
     /**
      * Handles a new call.
      *
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/StreamFlow.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/StreamFlow.java
@@ -13,6 +13,9 @@
     /** Time for which an ended or abandoned stream is kept for a caller that comes back, in milliseconds. */
     static final long KEEP_STREAM_MILLIS = 10_000;
 
+    /** Time for which an adopted stream waits for its caller, in milliseconds. */
+    static final long KEEP_ADOPTED_MILLIS = 30_000;
+
     /** Most attempts of one call, moves away from leaving upstreams not counted. */
     static final int MOST_ATTEMPTS = 4;
 
@@ -33,6 +36,16 @@
         this.table = table;
     }
 
+    /** Carries on a stream of a peer that is about to stop. */
+    void adopt(Call call, int heldChunks, long nowMillis) {
+        call.callerPresent = false;
+        call.lastChunk += heldChunks;
+        out.add(new Command.AnswerAdoption(call.id(), true));
+        dispatcher.note(call, DecisionKind.ADOPTED, "from chunk " + call.lastChunk);
+        forgetAt(call, nowMillis + KEEP_ADOPTED_MILLIS);
+        begin(call, nowMillis);
+    }
+
     void begin(Call call, long nowMillis) {
         call.waitDeadlineMillis = Math.min(call.request.deadlineMillis(), nowMillis + MOST_WAIT_MILLIS);
         table.wakeAt(call.request.deadlineMillis(), call);
@@ -59,8 +72,12 @@
     }
 
     void ended(Call call, Attempt attempt, AttemptOutcome outcome, int lastChunk, long nowMillis) {
+        boolean owner = call.owner().filter(latest -> latest == attempt).isPresent();
         dispatcher.release(attempt, outcome, nowMillis);
         call.lastChunk = Math.max(call.lastChunk, lastChunk);
+        if (!owner) {
+            return;
+        }
         if (outcome == AttemptOutcome.COMPLETE) {
             dispatcher.cancelAttempts(call, nowMillis);
             dispatcher.complete(call);
@@ -97,7 +114,8 @@
             return;
         }
         for (Attempt attempt : List.copyOf(call.attempts)) {
-            if (nowMillis >= attempt.progressDeadlineMillis) {
+            boolean owner = call.owner().filter(latest -> latest == attempt).isPresent();
+            if (owner && nowMillis >= attempt.progressDeadlineMillis) {
                 dispatcher.cancel(attempt, AttemptOutcome.TIMED_OUT, nowMillis);
                 failed(call, attempt, AttemptOutcome.TIMED_OUT, nowMillis);
             }
@@ -107,6 +125,12 @@
         }
     }
 
+    /** Goes on with a stream that no peer took over. */
+    void resume(Call call, long nowMillis) {
+        call.waitDeadlineMillis = Math.min(call.request.deadlineMillis(), nowMillis + MOST_WAIT_MILLIS);
+        dispatch(call, nowMillis);
+    }
+
     private void cancelOthers(Call call, Attempt winner, long nowMillis) {
         for (Attempt attempt : List.copyOf(call.attempts)) {
             if (attempt != winner) {
@@ -140,9 +164,7 @@
     private void failed(Call call, Attempt attempt, AttemptOutcome outcome, long nowMillis) {
         call.failedUpstreams.add(attempt.upstream);
         call.mayHaveRun |= !outcome.provedNotRun();
-        if (!call.attempts.isEmpty()) {
-            return;
-        }
+        dispatcher.cancelAttempts(call, nowMillis);
         boolean permitted =
                 call.request.kind().mayRetryAfter(outcome) && call.attemptCount < MOST_ATTEMPTS && budget.trySpend();
         if (!permitted) {
@@ -154,10 +176,10 @@
         dispatch(call, nowMillis);
     }
 
-    private void finish(Call call, long nowMillis) {
+    void finish(Call call, long nowMillis) {
         call.phase = CallPhase.ENDED;
         if (call.request.kind() == CallKind.GENERATE) {
-            forgetAt(call, nowMillis + KEEP_STREAM_MILLIS);
+            forgetAt(call, Math.max(call.forgetAtMillis, nowMillis + KEEP_STREAM_MILLIS));
         } else {
             forget(call);
         }
--- a/lovagethread-core/src/main/java/org/lovagethread/core/command/Command.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/command/Command.java
@@ -28,6 +28,14 @@
      */
     record AnswerAddress(long callId, List<String> addresses, long notAfterMillis) implements Command {}
 
+    /**
+     * Answers a peer that asked this node to carry a stream on.
+     *
+     * @param callId the number of the call on this node
+     * @param accepted whether the stream goes on here
+     */
+    record AnswerAdoption(long callId, boolean accepted) implements Command {}
+
     /**
      * Answers a query for the state of the node.
      *
@@ -69,6 +77,14 @@
      */
     record ForgetCall(long callId) implements Command {}
 
+    /**
+     * Asks a peer to carry a stream on, with the chunks received so far.
+     *
+     * @param callId the number of the call
+     * @param peerAddress the host and port of the peer
+     */
+    record HandOverCall(long callId, String peerAddress) implements Command {}
+
     /**
      * Notes a decision about a call for logs, metrics and explanations.
      *
@@ -87,6 +103,14 @@
      */
     record ReadClaim(long operationId, String key) implements Command {}
 
+    /**
+     * Ends a stream with a line that tells the caller where it goes on.
+     *
+     * @param callId the number of the call
+     * @param address the host and port for callers
+     */
+    record RedirectCaller(long callId, String address) implements Command {}
+
     /**
      * Refuses a call, or ends its stream with an error line.
      *
--- a/lovagethread-core/src/main/java/org/lovagethread/core/command/DecisionKind.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/command/DecisionKind.java
@@ -4,6 +4,8 @@
 public enum DecisionKind {
     /** The call passed admission. */
     ADMITTED,
+    /** The stream of a stopping peer goes on here. */
+    ADOPTED,
     /** The stream of an earlier connection goes on for a caller that came back. */
     ATTACHED,
     /** The claim on the idempotency key is recorded. */
@@ -12,6 +14,8 @@
     COMPLETED,
     /** The attempt stays on a leaving upstream, since it should end before the deadline. */
     FINISHING_IN_PLACE,
+    /** The stream goes on at a peer, since this node is stopping. */
+    HANDED_OVER,
     /** Another attempt was started because the upstream is leaving. */
     MOVED,
     /** The call waits for an upstream. */
--- a/lovagethread-core/src/main/java/org/lovagethread/core/event/Event.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/event/Event.java
@@ -43,6 +43,14 @@
      */
     record AttemptProgressed(long attemptId, int lastChunk) implements Event {}
 
+    /**
+     * A peer that is about to stop asks this node to carry a stream on.
+     *
+     * @param request the call, numbered by this node
+     * @param heldChunks the number of chunks received so far, from the first one after {@code request.fromChunk()}
+     */
+    record CallAdopted(CallRequest request, int heldChunks) implements Event {}
+
     /**
      * A call has arrived.
      *
@@ -74,6 +82,14 @@
      */
     record ConfigurationOffered(Configuration configuration) implements Event {}
 
+    /**
+     * A peer has answered whether it carries a stream on.
+     *
+     * @param callId the number of the call on this node
+     * @param accepted whether the peer carries the stream on; false also when it gave no answer
+     */
+    record HandOverReplied(long callId, boolean accepted) implements Event {}
+
     /**
      * The Object API listed the nodes.
      *
--- a/lovagethread-core/src/main/java/org/lovagethread/core/member/MemberTable.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/member/MemberTable.java
@@ -85,6 +85,21 @@
                 .toList();
     }
 
+    /**
+     * Returns the peers that can carry on a stream of this node, best first.
+     *
+     * @param key a text that identifies the stream
+     * @param nowMillis the present time in milliseconds since the epoch
+     * @return the states of peers that are alive and not stopping; empty if there are none
+     */
+    public List<PeerState> successors(String key, long nowMillis) {
+        return members.values().stream()
+                .filter(member -> !member.state.stopping() && member.status(nowMillis) == MemberStatus.ALIVE)
+                .map(member -> member.state)
+                .sorted(Comparator.comparingLong((PeerState state) -> rank(key, state.node())))
+                .toList();
+    }
+
     /**
      * Takes in a heartbeat.
      *
--- /dev/null
+++ b/lovagethread-core/src/test/java/org/lovagethread/core/scenario/FakeCaller.java
@@ -0,0 +1,50 @@
+package org.lovagethread.core.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.lovagethread.core.call.CallKind;
+import org.lovagethread.core.error.ErrorKind;
+
+/** What one caller sent and received. */
+final class FakeCaller {
+    final String name;
+    final CallKind kind;
+    final String key;
+    final String body;
+    final int tokens;
+    final List<String> chunks = new ArrayList<>();
+    FakeNode node;
+    long callId;
+    long deadlineMillis;
+    boolean ended;
+    boolean cutOff;
+    boolean follows;
+    Optional<String> answer = Optional.empty();
+    Optional<ErrorKind> refusal = Optional.empty();
+
+    FakeCaller(String name, CallKind kind, String key, String body, int tokens) {
+        this.name = name;
+        this.kind = kind;
+        this.key = key;
+        this.body = body;
+        this.tokens = tokens;
+    }
+
+    boolean whole() {
+        if (kind != CallKind.GENERATE) {
+            return answer.isPresent();
+        }
+        return ended && chunks.size() == tokens;
+    }
+
+    /** Tests whether every part received belongs to this caller's own request, in order. */
+    boolean own() {
+        for (int i = 0; i < chunks.size(); i++) {
+            if (!chunks.get(i).equals(name + ":" + (i + 1))) {
+                return false;
+            }
+        }
+        return kind != CallKind.READ || answer.isEmpty() || answer.get().equals("answer to " + name);
+    }
+}
--- /dev/null
+++ b/lovagethread-core/src/test/java/org/lovagethread/core/scenario/FakeStore.java
@@ -0,0 +1,60 @@
+package org.lovagethread.core.scenario;
+
+import java.util.Optional;
+import java.util.TreeMap;
+import org.lovagethread.core.command.Command;
+import org.lovagethread.core.event.Event;
+import org.lovagethread.core.store.Claim;
+import org.lovagethread.core.store.StoreStatus;
+
+/** Fake of the Object API's conditional updates on claims. */
+final class FakeStore {
+    /** Modes of the store. */
+    enum Mode {
+        /** Every operation is answered. */
+        UP,
+        /** Every operation is refused without an effect. */
+        DOWN,
+        /** Every operation takes effect, and its answer is lost. */
+        ANSWERS_LOST,
+        /** Every write takes effect only after its answer was given up. */
+        WRITES_LATE
+    }
+
+    private record Entry(long version, Claim claim) {}
+
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    private long nextVersion = 1;
+    Mode mode = Mode.UP;
+    int writes;
+
+    Optional<Claim> claim(String key) {
+        return Optional.ofNullable(entries.get(key)).map(Entry::claim);
+    }
+
+    Event read(Command.ReadClaim command) {
+        Entry entry = entries.get(command.key());
+        if (entry == null) {
+            return new Event.ClaimReplied(command.operationId(), StoreStatus.MISSING, 0, Optional.empty());
+        }
+        return reply(command.operationId(), StoreStatus.FOUND, entry);
+    }
+
+    Event write(Command.WriteClaim command) {
+        writes++;
+        Entry entry = entries.get(command.key());
+        long version = entry == null ? 0 : entry.version();
+        if (version != command.expectedVersion()) {
+            return entry == null
+                    ? new Event.ClaimReplied(command.operationId(), StoreStatus.CONFLICT, 0, Optional.empty())
+                    : reply(command.operationId(), StoreStatus.CONFLICT, entry);
+        }
+        Entry written = new Entry(nextVersion++, command.claim());
+        entries.put(command.key(), written);
+        return new Event.ClaimReplied(command.operationId(), StoreStatus.WRITTEN, written.version(), Optional.empty());
+    }
+
+    private static Event reply(long operationId, StoreStatus status, Entry entry) {
+        return new Event.ClaimReplied(operationId, status, entry.version(), Optional.of(entry.claim()));
+    }
+}
--- a/lovagethread-node/src/main/java/org/lovagethread/node/CommandRouter.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/CommandRouter.java
@@ -28,13 +28,20 @@
         this.exit = exit;
     }
 
+    private static boolean isForPeers(Command command) {
+        return command instanceof Command.TellPeers
+                || command instanceof Command.RequestConfiguration
+                || command instanceof Command.HandOverCall
+                || command instanceof Command.AnswerAdoption;
+    }
+
     @Override
     public void accept(Command command) {
         if (command instanceof Command.StartAttempt || command instanceof Command.CancelAttempt) {
             upstreams.put(command);
         } else if (command instanceof Command.WriteClaim || command instanceof Command.ReadClaim) {
             claims.put(command);
-        } else if (command instanceof Command.TellPeers || command instanceof Command.RequestConfiguration) {
+        } else if (isForPeers(command)) {
             peers.put(command);
         } else if (command instanceof Command.NoteDecision || command instanceof Command.ActivateConfiguration) {
             telemetry.offer(command);
--- a/lovagethread-node/src/main/java/org/lovagethread/node/Node.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/Node.java
@@ -18,6 +18,7 @@
 import org.lovagethread.node.duty.NodeClock;
 import org.lovagethread.node.duty.Ring;
 import org.lovagethread.node.duty.Supervisor;
+import org.lovagethread.node.peer.HandOverDesk;
 import org.lovagethread.node.peer.PeerDuty;
 import org.lovagethread.node.platform.ClaimDuty;
 import org.lovagethread.node.platform.ConfigurationDuty;
@@ -42,6 +43,9 @@
 /** Joins the duties of one node: builds them, starts them under supervisors and stops them. */
 public final class Node {
     private static final Logger LOG = System.getLogger(Node.class.getName());
+    private static final long DELIVERY_POLL_MILLIS = 50;
+    private static final long FLUSH_MILLIS = 300;
+    private static final long MOST_DELIVERY_MILLIS = 30_000;
     private static final int EVENT_CAPACITY = 1 << 14;
     private static final int COMMAND_CAPACITY = 1 << 13;
 
@@ -59,6 +63,7 @@
     private final NodeDirectory directory;
     private final Explanations explanations = new Explanations();
     private final NodeMetrics metrics = new NodeMetrics();
+    private final HandOverDesk handOvers;
     private final ObjectApiClient objects;
     private final PeerDuty peers;
     private final TraceRecorder recorder;
@@ -80,6 +85,7 @@
         objects = new ObjectApiClient(settings.uri(NodeKeys.OBJECT_API));
         directory = new NodeDirectory(objects, settings.text(NodeKeys.CELL));
         recorder = new TraceRecorder((int) settings.number(NodeKeys.TRACE_EVENTS));
+        handOvers = new HandOverDesk(calls, clock, events::put);
         peers = peerDuty();
         server = new CallerServer(
                 settings,
@@ -108,6 +114,7 @@
     public void start() throws Exception {
         startDecisions();
         server.start();
+        handOvers.useLoops(server.controller().getEventLoopGroup());
         startCallers();
         peers.listen(settings.text(NodeKeys.HOST), (int) settings.number(NodeKeys.PEER_PORT));
         supervisor.child("peers").start(peers);
@@ -122,6 +129,7 @@
      */
     public void stopWhenIdle() throws Exception {
         exit.await();
+        awaitDelivery();
         directory.remove(coreSettings.node());
         server.stop();
         supervisor.stop();
@@ -138,10 +146,20 @@
                 .peerAddress(host + ":" + settings.text(NodeKeys.PEER_PORT))
                 .region(settings.text(NodeKeys.REGION))
                 .seed(startMillis)
+                .stopGraceMillis(settings.number(NodeKeys.STOP_GRACE_MS))
                 .zone(settings.text(NodeKeys.ZONE))
                 .build();
     }
 
+    /** Waits until the callers have taken the ends of their answers. */
+    private void awaitDelivery() throws InterruptedException {
+        long deadlineMillis = clock.millis() + MOST_DELIVERY_MILLIS;
+        while (calls.awaited() > 0 && clock.millis() < deadlineMillis) {
+            Thread.sleep(DELIVERY_POLL_MILLIS);
+        }
+        Thread.sleep(FLUSH_MILLIS);
+    }
+
     private void escalated(String duty) {
         LOG.log(Level.ERROR, "duty-given-up {0}", duty);
         Runtime.getRuntime().halt(NodeMain.FAILED);
@@ -154,6 +172,7 @@
                 new PeerKey(settings.secret(NodeKeys.PEER_KEY_FILE)),
                 settings.addresses(NodeKeys.SEEDS),
                 sheets,
+                handOvers,
                 peerCommands,
                 events::put);
     }
--- a/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallRegistry.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallRegistry.java
@@ -34,6 +34,15 @@
         return true;
     }
 
+    /**
+     * Returns the number of calls whose callers still wait for a part of the answer.
+     *
+     * @return the number of calls
+     */
+    public int awaited() {
+        return (int) calls.values().stream().filter(OpenCall::awaited).count();
+    }
+
     /**
      * Finds a call.
      *
--- a/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallerDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallerDuty.java
@@ -36,6 +36,8 @@
             onCall(replay.callId(), call -> call.replay(replay.answer()));
         } else if (command instanceof Command.AttachCaller attach) {
             attach(attach);
+        } else if (command instanceof Command.RedirectCaller redirect) {
+            onCall(redirect.callId(), call -> call.redirect(redirect.address()));
         } else if (command instanceof Command.ForgetCall forget) {
             calls.remove(forget.callId());
         } else if (command instanceof Command.AnswerAddress answer) {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/caller/ChunkResult.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/ChunkResult.java
@@ -4,7 +4,7 @@
 public enum ChunkResult {
     /** The chunk is the next one and was added. */
     ADDED,
-    /** The chunk is there already, from an earlier attempt. */
+    /** The chunk is there already, or comes from an attempt that may not add to the stream any more. */
     DUPLICATE,
     /** Chunks before this one are missing, or the stream is too large; nothing was added. */
     REJECTED
--- a/lovagethread-node/src/main/java/org/lovagethread/node/caller/OpenCall.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/OpenCall.java
@@ -29,8 +29,9 @@
     private int connectionFrom;
     private StoredAnswer answer;
     private int characters;
-    private boolean delivered;
     private String closing;
+    private long owner;
+    private volatile boolean awaited;
 
     /**
      * Creates a call without an answer.
@@ -47,16 +48,28 @@
         this.lost = Objects.requireNonNull(lost, "lost");
     }
 
+    /**
+     * Makes an attempt the only one that may add to the stream.
+     *
+     * @param attemptId the number of the attempt
+     * @return the number of chunks that the stream holds, after which the attempt goes on
+     */
+    public int begin(long attemptId) {
+        owner = attemptId;
+        return lastChunk();
+    }
+
     /**
      * Adds a chunk to the stream.
      *
+     * @param attemptId the number of the attempt that received the chunk
      * @param number the number of the chunk, from 1
      * @param text the text of the chunk
      * @return what came of it
      */
-    public ChunkResult addChunk(int number, String text) {
+    public ChunkResult addChunk(long attemptId, int number, String text) {
         int last = lastChunk();
-        if (number <= last) {
+        if (attemptId != owner || number <= last) {
             return ChunkResult.DUPLICATE;
         }
         characters += text.length();
@@ -98,15 +111,6 @@
         return request.fromChunk() + lines.size();
     }
 
-    /**
-     * Returns the chunk lines of the stream.
-     *
-     * @return a copy of the lines
-     */
-    public List<String> lines() {
-        return List.copyOf(lines);
-    }
-
     /**
      * Returns the event loop of the call.
      *
@@ -138,11 +142,34 @@
         }
     }
 
-    /** Takes over the lines that another node received. */
-    void adopt(List<String> received) {
+    /**
+     * Takes over the chunk lines that another node received.
+     *
+     * @param received the lines
+     */
+    public void adopt(List<String> received) {
         lines.addAll(received);
     }
 
+    /**
+     * Tests whether a caller still waits for a part of the answer; may be called on any thread.
+     *
+     * @return true while a connection waits
+     */
+    public boolean awaited() {
+        return awaited;
+    }
+
+    /**
+     * Keeps all attempts from adding to the stream.
+     *
+     * @return the chunk lines received until now
+     */
+    public List<String> seal() {
+        owner = 0;
+        return List.copyOf(lines);
+    }
+
     Optional<String> chunkLine(int number) {
         int index = number - request.fromChunk() - 1;
         return index >= 0 && index < lines.size() ? Optional.of(lines.get(index)) : Optional.empty();
@@ -165,6 +192,7 @@
             connection.supersede();
         }
         connection = fresh;
+        awaited = true;
         connectionFrom = Math.max(fromChunk, request.fromChunk());
         boolean somethingToSend = closing != null || lastChunk() > connectionFrom;
         if (somethingToSend) {
@@ -178,8 +206,9 @@
     }
 
     void disconnected(CallerConnection closed) {
-        if (connection != null && connection == closed && !delivered) {
+        if (connection != null && connection == closed && awaited) {
             connection = null;
+            awaited = false;
             lost.accept(request.callId());
         }
     }
@@ -187,6 +216,7 @@
     CallerConnection detach() {
         CallerConnection detached = connection;
         connection = null;
+        awaited = false;
         return detached;
     }
 
@@ -210,7 +240,7 @@
     }
 
     void streamDelivered() {
-        delivered = true;
+        awaited = false;
     }
 
     private void close(String line) {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/upstream/Attempt.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/upstream/Attempt.java
@@ -17,6 +17,7 @@
     private final Consumer<Event> events;
     private Runnable canceller = () -> {};
     private boolean ended;
+    private int fromChunk;
 
     Attempt(OpenCall call, Command.StartAttempt command, Consumer<Event> events, Consumer<Attempt> whenEnded) {
         this.call = call;
@@ -42,6 +43,15 @@
         return command;
     }
 
+    /** Makes this attempt the one that may add to the stream. */
+    void begin() {
+        fromChunk = call.begin(command.attemptId());
+    }
+
+    int fromChunk() {
+        return fromChunk;
+    }
+
     void end(AttemptOutcome outcome, Optional<StoredAnswer> answer) {
         if (!ended) {
             ended = true;
--- a/lovagethread-node/src/main/java/org/lovagethread/node/upstream/EngineStreamReader.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/upstream/EngineStreamReader.java
@@ -26,7 +26,7 @@
 
     EngineStreamReader(Attempt attempt) {
         this.attempt = attempt;
-        this.lastReported = attempt.command().fromChunk();
+        this.lastReported = attempt.fromChunk();
     }
 
     @Override
@@ -82,7 +82,9 @@
 
     private void chunk(int number, JsonNode text) {
         boolean valid = number > 0 && text.isTextual();
-        if (!valid || attempt.call().addChunk(number, text.asText()) == ChunkResult.REJECTED) {
+        if (!valid
+                || attempt.call().addChunk(attempt.command().attemptId(), number, text.asText())
+                        == ChunkResult.REJECTED) {
             mismatch();
             return;
         }
@@ -96,7 +98,7 @@
 
     private void report(int number) {
         long now = System.nanoTime();
-        boolean first = lastReported == attempt.command().fromChunk();
+        boolean first = lastReported == attempt.fromChunk();
         boolean due = number - lastReported >= CHUNKS_PER_REPORT || now - reportedAtNanos >= NANOS_PER_REPORT;
         if (first || due) {
             lastReported = number;
--- a/lovagethread-node/src/main/java/org/lovagethread/node/upstream/UpstreamDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/upstream/UpstreamDuty.java
@@ -135,6 +135,7 @@
         if (attempt.ended()) {
             return;
         }
+        attempt.begin();
         URI uri = URI.create("http://" + attempt.command().address() + "/v1/generate");
         byte[] body = engineBody(attempt);
         unpooled.requestStream(uri, spec -> {
@@ -160,7 +161,7 @@
                     .createObjectNode()
                     .put("prompt", caller.path("prompt").asText())
                     .put("maxTokens", request.maxTokens())
-                    .put("fromChunk", attempt.command().fromChunk())
+                    .put("fromChunk", attempt.fromChunk())
                     .put("priority", attempt.command().priority());
             attempt.command().cacheSource().ifPresent(source -> body.put("cacheSource", source));
             return Json.mapper().writeValueAsBytes(body);
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/trace/TraceFormat.java
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/trace/TraceFormat.java
@@ -34,6 +34,7 @@
      * @param peerAddress the host and port for peers
      * @param region the region
      * @param seed the seed of the random numbers
+     * @param stopGraceMillis how long after a stop request streams may finish before they are handed over
      * @param zone the availability zone
      */
     public record Header(
@@ -44,6 +45,7 @@
             String peerAddress,
             String region,
             long seed,
+            long stopGraceMillis,
             String zone) {
 
         /**
@@ -61,6 +63,7 @@
                     settings.peerAddress(),
                     settings.region(),
                     settings.seed(),
+                    settings.stopGraceMillis(),
                     settings.zone());
         }
 
@@ -77,6 +80,7 @@
                     .peerAddress(peerAddress)
                     .region(region)
                     .seed(seed)
+                    .stopGraceMillis(stopGraceMillis)
                     .zone(zone)
                     .build();
         }
