--- a/lovagethread-core/src/test/java/org/lovagethread/core/scenario/World.java
+++ b/lovagethread-core/src/test/java/org/lovagethread/core/scenario/World.java
@@ -220,6 +220,10 @@
         } else if (command instanceof Command.AttachCaller attach) {
             FakeCaller caller = node.streams.remove(attach.callId()).caller;
             FakeNode.Stream stream = node.streams.get(attach.streamCallId());
+            if (caller == null) {
+                deliver(node, new Event.CallerLeft(attach.streamCallId()));
+                return;
+            }
             stream.caller = caller;
             caller.callId = attach.streamCallId();
             flush(stream);
--- a/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallerDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallerDuty.java
@@ -1,5 +1,6 @@
 package org.lovagethread.node.caller;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.lovagethread.core.call.CallKind;
 import org.lovagethread.core.command.Command;
@@ -50,10 +51,10 @@
     private void attach(Command.AttachCaller attach) {
         calls.find(attach.callId())
                 .ifPresent(fresh -> fresh.run(() -> {
-                    CallerConnection connection = fresh.detach();
+                    Optional<CallerConnection> connection = fresh.detach();
                     calls.remove(attach.callId());
                     calls.find(attach.streamCallId())
-                            .ifPresent(call -> call.run(() -> call.connect(connection, attach.fromChunk())));
+                            .ifPresent(call -> call.run(() -> call.attach(connection, attach.fromChunk())));
                 }));
     }
 
--- a/lovagethread-node/src/main/java/org/lovagethread/node/caller/OpenCall.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/OpenCall.java
@@ -213,8 +213,18 @@
         }
     }
 
-    CallerConnection detach() {
-        CallerConnection detached = connection;
+    /** Connects a caller that came back, or notes that it has left again. */
+    void attach(Optional<CallerConnection> fresh, int fromChunk) {
+        if (fresh.isPresent()) {
+            connect(fresh.get(), fromChunk);
+        } else {
+            lost.accept(request.callId());
+        }
+    }
+
+    /** Gives up the connection of a caller; empty if the caller has left. */
+    Optional<CallerConnection> detach() {
+        Optional<CallerConnection> detached = Optional.ofNullable(connection);
         connection = null;
         awaited = false;
         return detached;
--- a/lovagethread-standins/src/main/java/org/lovagethread/standins/PlainService.java
+++ b/lovagethread-standins/src/main/java/org/lovagethread/standins/PlainService.java
@@ -1,9 +1,15 @@
 package org.lovagethread.standins;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Stands in for a plain service whose bookings may not be repeated.
@@ -14,6 +20,7 @@
  */
 public final class PlainService {
     private final String id;
+    private final Optional<Path> ledgerFile;
     private final List<Map<String, String>> ledger = new ArrayList<>();
     private int cross;
     private int decline;
@@ -27,9 +34,11 @@
      * Creates the service.
      *
      * @param id the identifier of the instance
+     * @param ledgerFile the file to which the key of each booking is appended, so that it outlives the process
      */
-    public PlainService(String id) {
+    public PlainService(String id, Optional<Path> ledgerFile) {
         this.id = id;
+        this.ledgerFile = ledgerFile;
     }
 
     /**
@@ -81,6 +90,7 @@
         String request = exchange.header("X-Request-Id");
         boolean booking = exchange.method().equals("POST");
         if (booking) {
+            ledgerFile.ifPresent(file -> append(file, exchange.header("Idempotency-Key")));
             ledger.add(Map.of(
                     "key",
                     exchange.header("Idempotency-Key"),
@@ -106,6 +116,14 @@
         answer(exchange, booking, request);
     }
 
+    private static void append(Path file, String key) {
+        try {
+            Files.writeString(file, key + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void answer(Exchange exchange, boolean booking, String request) {
         Map<String, Object> answer = booking
                 ? Map.of("booking", id + "-" + ledger.size(), "request", request, "path", exchange.path())
--- a/lovagethread-standins/src/main/java/org/lovagethread/standins/StandInMain.java
+++ b/lovagethread-standins/src/main/java/org/lovagethread/standins/StandInMain.java
@@ -1,6 +1,8 @@
 package org.lovagethread.standins;
 
+import java.nio.file.Path;
 import java.util.Map;
+import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
@@ -24,7 +26,7 @@
         for (String name : new String[] {"port", "cloud-api", "lag-ms", "step-ms", "bytes-per-second"}) {
             options.addOption(null, name, true, "");
         }
-        for (String name : new String[] {"id", "service", "zone", "region"}) {
+        for (String name : new String[] {"id", "service", "zone", "region", "ledger"}) {
             options.addOption(null, name, true, "");
         }
         options.addOption(null, "check-fencing", false, "");
@@ -66,7 +68,9 @@
             }
             case "engine" -> startEngine(line, port);
             case "plain" -> {
-                PlainService plain = new PlainService(line.getOptionValue("id", "plain"));
+                PlainService plain = new PlainService(
+                        line.getOptionValue("id", "plain"),
+                        Optional.ofNullable(line.getOptionValue("ledger")).map(Path::of));
                 StandInServer server = new StandInServer(port, plain::handle);
                 register(line, server);
                 yield server;
