Roll out model versions under a lease with fencing numbers

Cause: nothing kept a holder that was paused past its lease from ordering engines.

Change: one node of a cell holds a lease in the Object API and orders engines, one of a service at a time, to load the declared model version. The holder counts its deadline from before a renewal was sent and gives the lease up after a pause; the next holder waits until it has itself seen the lease unchanged for its whole length and the longest life of an order; each order has a deadline that is checked just before it is sent, and is given again while the instance list shows another version.

Ruled out: comparing clocks of nodes; an order without an expiry (a woken holder sends it after its successor's).

--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -74,10 +74,10 @@
 
 # Starts the upstream whose line is given; a generation keeps identifiers of replacements apart.
 start_upstream() {
-    local kind service id region zone port step fencing flags=()
-    read -r kind service id region zone port step fencing <<<"$1"
+    local kind service id region zone port step fencing version flags=()
+    read -r kind service id region zone port step fencing version <<<"$1"
     [ "$fencing" = yes ] && flags+=(--check-fencing)
-    [ "$kind" = engine ] && flags+=(--step-ms "$step")
+    [ "$kind" = engine ] && flags+=(--step-ms "$step" --version "$version")
     [ "$kind" = plain ] && flags+=(--ledger "$work/$id.ledger")
     start_standin "$id" "$kind" --port "$port" --id "$id${2:-}" --service "$service" --region "$region" \
         --zone "$zone" --cloud-api "http://127.0.0.1:$((base + 1))" "${flags[@]}"
--- a/lovagethread-core/src/main/java/org/lovagethread/core/Core.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/Core.java
@@ -9,6 +9,8 @@
 import org.lovagethread.core.command.Outbox;
 import org.lovagethread.core.config.Configuration;
 import org.lovagethread.core.event.Event;
+import org.lovagethread.core.lease.LeaseKeeper;
+import org.lovagethread.core.lease.Rollout;
 import org.lovagethread.core.limit.CustomerLimits;
 import org.lovagethread.core.member.LeavingUpstream;
 import org.lovagethread.core.member.MemberStatus;
@@ -32,8 +34,10 @@
 
     private final Calls calls;
     private final CustomerLimits limits = new CustomerLimits();
+    private final LeaseKeeper lease;
     private final MemberTable members;
     private final Outbox out = new Outbox();
+    private final Rollout rollout;
     private final CoreSettings settings;
     private final UpstreamTable upstreams = new UpstreamTable();
     private Optional<Configuration> configuration = Optional.empty();
@@ -52,6 +56,8 @@
     public Core(CoreSettings settings) {
         this.settings = Objects.requireNonNull(settings, "settings");
         members = new MemberTable(settings);
+        lease = new LeaseKeeper(settings, out);
+        rollout = new Rollout(lease, upstreams, out);
         Router router = new Router(settings.region(), settings.zone(), new SplittableRandom(settings.seed()));
         calls = new Calls(settings, () -> configuration, limits, router, upstreams, members, this::ownerGone, out);
     }
@@ -105,6 +111,10 @@
             configurationOffered(offered.configuration(), nowMillis);
         } else if (event instanceof Event.NodesListed listed) {
             limits.nodes(listed.nodes().size());
+        } else if (event instanceof Event.LeaseReplied replied) {
+            lease.replied(replied, nowMillis);
+        } else if (event instanceof Event.OrderEnded ended) {
+            rollout.orderEnded(ended);
         } else if (event instanceof Event.StatusAsked asked) {
             out.add(new Command.AnswerStatus(asked.callId(), status(nowMillis)));
         } else if (event instanceof Event.CallAdopted adopted) {
@@ -202,6 +212,7 @@
                 stopping,
                 configuration.map(Configuration::revision).orElse(0L),
                 calls.unfinished(),
+                lease.held(nowMillis).map(held -> held.fence()).orElse(0L),
                 members.views(nowMillis),
                 upstreams.views());
     }
@@ -217,6 +228,8 @@
     }
 
     private void ticked(long nowMillis) {
+        lease.ticked(!stopping && members.first(nowMillis), nowMillis);
+        rollout.ticked(configuration, nowMillis);
         calls.ticked(nowMillis);
         if (nowMillis >= nextHeartbeatMillis) {
             upstreams.expire(nowMillis);
--- a/lovagethread-core/src/main/java/org/lovagethread/core/command/Command.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/command/Command.java
@@ -7,6 +7,7 @@
 import org.lovagethread.core.member.PeerState;
 import org.lovagethread.core.status.NodeStatus;
 import org.lovagethread.core.store.Claim;
+import org.lovagethread.core.store.Lease;
 import org.lovagethread.core.store.StoredAnswer;
 
 /** Marks everything that the decision core can order the other duties to do. */
@@ -103,6 +104,13 @@
      */
     record ReadClaim(long operationId, String key) implements Command {}
 
+    /**
+     * Reads the lease that permits orders.
+     *
+     * @param operationId the number of the operation
+     */
+    record ReadLease(long operationId) implements Command {}
+
     /**
      * Ends a stream with a line that tells the caller where it goes on.
      *
@@ -136,6 +144,19 @@
      */
     record RequestConfiguration(String peerAddress, long revision) implements Command {}
 
+    /**
+     * Orders an engine to load a model version, unless the deadline has passed.
+     *
+     * @param orderId the number of the order
+     * @param upstream the identifier of the engine
+     * @param address the host and port of the engine
+     * @param fence the fencing number of the lease
+     * @param version the model and version, as {@code model@version}
+     * @param notAfterMillis the time after which the order must not be sent, in milliseconds since the epoch
+     */
+    record SendOrder(long orderId, String upstream, String address, long fence, String version, long notAfterMillis)
+            implements Command {}
+
     /**
      * Sends a call to an upstream.
      *
@@ -177,4 +198,13 @@
      * @param claim the claim to store
      */
     record WriteClaim(long operationId, String key, long expectedVersion, Claim claim) implements Command {}
+
+    /**
+     * Writes the lease that permits orders if it still has the expected version.
+     *
+     * @param operationId the number of the operation
+     * @param expectedVersion the version that must be stored; zero if no object may exist
+     * @param lease the lease to store
+     */
+    record WriteLease(long operationId, long expectedVersion, Lease lease) implements Command {}
 }
--- a/lovagethread-core/src/main/java/org/lovagethread/core/event/Event.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/event/Event.java
@@ -5,8 +5,10 @@
 import org.lovagethread.core.call.AttemptOutcome;
 import org.lovagethread.core.call.CallRequest;
 import org.lovagethread.core.config.Configuration;
+import org.lovagethread.core.lease.OrderOutcome;
 import org.lovagethread.core.member.PeerState;
 import org.lovagethread.core.store.Claim;
+import org.lovagethread.core.store.Lease;
 import org.lovagethread.core.store.StoreStatus;
 import org.lovagethread.core.store.StoredAnswer;
 import org.lovagethread.core.upstream.UpstreamInfo;
@@ -90,6 +92,24 @@
      */
     record HandOverReplied(long callId, boolean accepted) implements Event {}
 
+    /**
+     * A read or a conditional write of the lease has ended.
+     *
+     * @param operationId the number of the operation
+     * @param status the result
+     * @param version the version stored now; zero when unknown or absent
+     * @param lease the lease stored now, when the status tells it
+     */
+    record LeaseReplied(long operationId, StoreStatus status, long version, Optional<Lease> lease) implements Event {}
+
+    /**
+     * An order to an engine has ended.
+     *
+     * @param orderId the number of the order
+     * @param outcome how it ended
+     */
+    record OrderEnded(long orderId, OrderOutcome outcome) implements Event {}
+
     /**
      * The Object API listed the nodes.
      *
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/lease/LeaseKeeper.java
@@ -0,0 +1,178 @@
+package org.lovagethread.core.lease;
+
+import java.util.Optional;
+import org.lovagethread.core.CoreSettings;
+import org.lovagethread.core.command.Command;
+import org.lovagethread.core.command.Outbox;
+import org.lovagethread.core.event.Event;
+import org.lovagethread.core.store.Lease;
+
+/**
+ * Acquires and renews the lease that permits a node to give orders.
+ *
+ * <p>The holder counts its deadline from before each renewal was sent. Another node takes the lease only after it has
+ * itself seen the object unchanged for the whole lease and the longest life of an order, so no clocks are compared. A
+ * holder that notices a pause gives the lease up before it does anything else.
+ */
+public final class LeaseKeeper {
+    /** Time for which a renewal permits orders, in milliseconds. */
+    public static final long LEASE_MILLIS = 12_000;
+
+    /** Time between two renewals, and between two looks at another's lease, in milliseconds. */
+    public static final long RENEW_MILLIS = 4_000;
+
+    /** Longest time between the decision for an order and its sending, in milliseconds. */
+    public static final long ORDER_LIFE_MILLIS = 2_000;
+
+    /** Gap between two ticks from which a pause of the process is inferred, in milliseconds. */
+    public static final long PAUSE_MILLIS = 1_000;
+
+    private final Outbox out;
+    private final CoreSettings settings;
+    private Optional<Lease> held = Optional.empty();
+    private Optional<Lease> writing = Optional.empty();
+    private long deadlineMillis;
+    private long lastTickMillis;
+    private long nextLookMillis;
+    private long operationCounter;
+    private long operationId;
+    private long operationSentMillis;
+    private long seenSinceMillis;
+    private long seenVersion = -1;
+    private long term;
+    private long version;
+
+    /**
+     * Creates a keeper without a lease.
+     *
+     * @param settings the settings of the node
+     * @param out takes the commands
+     */
+    public LeaseKeeper(CoreSettings settings, Outbox out) {
+        this.settings = settings;
+        this.out = out;
+    }
+
+    /**
+     * Returns the lease if it permits orders now.
+     *
+     * @param nowMillis the present time in milliseconds since the epoch
+     * @return the lease, or empty if it is not held or has lapsed
+     */
+    public Optional<Lease> held(long nowMillis) {
+        return nowMillis < deadlineMillis ? held : Optional.empty();
+    }
+
+    /**
+     * Returns the time by which an order decided now must have been sent.
+     *
+     * @param nowMillis the present time in milliseconds since the epoch
+     * @return a time within the lease, in milliseconds since the epoch
+     */
+    public long orderDeadline(long nowMillis) {
+        return Math.min(deadlineMillis, nowMillis + ORDER_LIFE_MILLIS);
+    }
+
+    /**
+     * Handles the result of a read or a write of the lease.
+     *
+     * @param reply the result
+     * @param nowMillis the present time in milliseconds since the epoch
+     */
+    public void replied(Event.LeaseReplied reply, long nowMillis) {
+        if (reply.operationId() != operationId) {
+            return;
+        }
+        operationId = 0;
+        switch (reply.status()) {
+            case WRITTEN -> taken(reply.version());
+            case FOUND, CONFLICT -> seen(reply, nowMillis);
+            case MISSING -> write(new Lease(newToken(), settings.node(), 1, 0), 0, nowMillis);
+            case REJECTED, NO_ANSWER -> nextLookMillis = nowMillis + PAUSE_MILLIS;
+            default -> throw new IllegalStateException("unexpected status " + reply.status());
+        }
+    }
+
+    /**
+     * Renews the lease, looks at another's, or gives the lease up after a pause.
+     *
+     * @param candidate whether this node should hold the lease
+     * @param nowMillis the present time in milliseconds since the epoch
+     */
+    public void ticked(boolean candidate, long nowMillis) {
+        boolean paused = lastTickMillis > 0 && nowMillis - lastTickMillis > PAUSE_MILLIS;
+        lastTickMillis = nowMillis;
+        if (paused || !candidate || (held.isPresent() && nowMillis >= deadlineMillis)) {
+            giveUp(paused, nowMillis);
+        }
+        if (candidate && operationId == 0 && nowMillis >= nextLookMillis) {
+            nextLookMillis = nowMillis + RENEW_MILLIS;
+            if (held.isPresent()) {
+                Lease current = held.get();
+                write(
+                        new Lease(current.token(), current.node(), current.fence(), current.renewal() + 1),
+                        version,
+                        nowMillis);
+            } else {
+                read();
+            }
+        }
+    }
+
+    private void giveUp(boolean paused, long nowMillis) {
+        held = Optional.empty();
+        writing = Optional.empty();
+        deadlineMillis = 0;
+        operationId = 0;
+        if (paused) {
+            seenVersion = -1;
+            nextLookMillis = nowMillis;
+        }
+    }
+
+    private String newToken() {
+        term++;
+        return settings.node() + '#' + settings.incarnation() + '#' + term;
+    }
+
+    private void read() {
+        operationId = ++operationCounter;
+        out.add(new Command.ReadLease(operationId));
+    }
+
+    /** Handles the lease as it is stored now. */
+    private void seen(Event.LeaseReplied reply, long nowMillis) {
+        if (reply.lease().isEmpty()) {
+            return;
+        }
+        Lease stored = reply.lease().get();
+        boolean ours =
+                writing.filter(lease -> lease.token().equals(stored.token())).isPresent();
+        if (ours && writing.get().renewal() == stored.renewal()) {
+            taken(reply.version());
+            return;
+        }
+        held = Optional.empty();
+        if (reply.version() != seenVersion) {
+            seenVersion = reply.version();
+            seenSinceMillis = nowMillis;
+            return;
+        }
+        if (nowMillis - seenSinceMillis >= LEASE_MILLIS + ORDER_LIFE_MILLIS) {
+            write(new Lease(newToken(), settings.node(), stored.fence() + 1, 0), reply.version(), nowMillis);
+        }
+    }
+
+    private void taken(long storedVersion) {
+        held = writing;
+        version = storedVersion;
+        deadlineMillis = operationSentMillis + LEASE_MILLIS;
+    }
+
+    private void write(Lease lease, long expectedVersion, long nowMillis) {
+        writing = Optional.of(lease);
+        operationId = ++operationCounter;
+        operationSentMillis = nowMillis;
+        out.add(new Command.WriteLease(operationId, expectedVersion, lease));
+    }
+}
--- a/lovagethread-core/src/main/java/org/lovagethread/core/member/MemberTable.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/member/MemberTable.java
@@ -100,6 +100,18 @@
                 .toList();
     }
 
+    /**
+     * Tests whether this node comes first among the nodes that are alive and not stopping.
+     *
+     * @param nowMillis the present time in milliseconds since the epoch
+     * @return true if no such peer has a name before this node's
+     */
+    public boolean first(long nowMillis) {
+        return members.values().stream()
+                .filter(member -> !member.state.stopping() && member.status(nowMillis) == MemberStatus.ALIVE)
+                .noneMatch(member -> member.state.node().compareTo(settings.node()) < 0);
+    }
+
     /**
      * Takes in a heartbeat.
      *
--- a/lovagethread-core/src/main/java/org/lovagethread/core/status/NodeStatus.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/status/NodeStatus.java
@@ -11,6 +11,7 @@
  * @param stopping whether the node plans to stop
  * @param revision the configuration revision in force; zero if none
  * @param unfinishedCalls the number of calls that have not ended
+ * @param fence the fencing number of the lease that the node holds; zero if it holds none
  * @param members the peers
  * @param upstreams the upstreams
  */
@@ -21,6 +22,7 @@
         boolean stopping,
         long revision,
         int unfinishedCalls,
+        long fence,
         List<MemberView> members,
         List<UpstreamView> upstreams) {
 
--- a/lovagethread-core/src/main/java/org/lovagethread/core/upstream/UpstreamInfo.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/UpstreamInfo.java
@@ -11,9 +11,11 @@
  * @param address the host and port
  * @param zone the availability zone
  * @param region the region
+ * @param version the model and version that an engine serves, as {@code model@version}; empty for a plain server
  * @param leaving whether the list shows it as leaving
  */
-public record UpstreamInfo(String id, String service, String address, String zone, String region, boolean leaving) {
+public record UpstreamInfo(
+        String id, String service, String address, String zone, String region, String version, boolean leaving) {
 
     /** Validates the fields. */
     public UpstreamInfo {
@@ -22,5 +24,6 @@
         Checks.notBlank(address, "address");
         Objects.requireNonNull(zone, "zone");
         Objects.requireNonNull(region, "region");
+        version = Objects.requireNonNullElse(version, "");
     }
 }
--- a/lovagethread-core/src/test/java/org/lovagethread/core/scenario/FakeStore.java
+++ b/lovagethread-core/src/test/java/org/lovagethread/core/scenario/FakeStore.java
@@ -1,10 +1,13 @@
 package org.lovagethread.core.scenario;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.lovagethread.core.command.Command;
 import org.lovagethread.core.event.Event;
 import org.lovagethread.core.store.Claim;
+import org.lovagethread.core.store.Lease;
 import org.lovagethread.core.store.StoreStatus;
 
 /** Fake of the Object API's conditional updates on claims. */
@@ -26,6 +29,9 @@
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private long nextVersion = 1;
     Mode mode = Mode.UP;
+    final List<Event> unanswered = new ArrayList<>();
+    private Lease lease;
+    private long leaseVersion;
     int writes;
 
     Optional<Claim> claim(String key) {
@@ -54,6 +60,23 @@
         return new Event.ClaimReplied(command.operationId(), StoreStatus.WRITTEN, written.version(), Optional.empty());
     }
 
+    Event readLease(long operationId) {
+        return lease == null
+                ? new Event.LeaseReplied(operationId, StoreStatus.MISSING, 0, Optional.empty())
+                : new Event.LeaseReplied(operationId, StoreStatus.FOUND, leaseVersion, Optional.of(lease));
+    }
+
+    Event writeLease(Command.WriteLease command) {
+        writes++;
+        if (command.expectedVersion() != leaseVersion) {
+            return new Event.LeaseReplied(
+                    command.operationId(), StoreStatus.CONFLICT, leaseVersion, Optional.ofNullable(lease));
+        }
+        lease = command.lease();
+        leaseVersion = nextVersion++;
+        return new Event.LeaseReplied(command.operationId(), StoreStatus.WRITTEN, leaseVersion, Optional.empty());
+    }
+
     private static Event reply(long operationId, StoreStatus status, Entry entry) {
         return new Event.ClaimReplied(operationId, status, entry.version(), Optional.of(entry.claim()));
     }
--- a/lovagethread-node/src/main/java/org/lovagethread/node/CommandRouter.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/CommandRouter.java
@@ -7,7 +7,8 @@
 /** Carries each command of the core to the ring of the duty that does it. */
 final class CommandRouter implements CommandSink {
     private final Ring<Command> callers;
-    private final Ring<Command> claims;
+    private final Ring<Command> orders;
+    private final Ring<Command> store;
     private final Runnable exit;
     private final Ring<Command> peers;
     private final Ring<Command> telemetry;
@@ -16,13 +17,15 @@
     CommandRouter(
             Ring<Command> callers,
             Ring<Command> upstreams,
-            Ring<Command> claims,
+            Ring<Command> store,
+            Ring<Command> orders,
             Ring<Command> peers,
             Ring<Command> telemetry,
             Runnable exit) {
         this.callers = callers;
         this.upstreams = upstreams;
-        this.claims = claims;
+        this.store = store;
+        this.orders = orders;
         this.peers = peers;
         this.telemetry = telemetry;
         this.exit = exit;
@@ -35,12 +38,21 @@
                 || command instanceof Command.AnswerAdoption;
     }
 
+    private static boolean isForStore(Command command) {
+        return command instanceof Command.WriteClaim
+                || command instanceof Command.ReadClaim
+                || command instanceof Command.WriteLease
+                || command instanceof Command.ReadLease;
+    }
+
     @Override
     public void accept(Command command) {
         if (command instanceof Command.StartAttempt || command instanceof Command.CancelAttempt) {
             upstreams.put(command);
-        } else if (command instanceof Command.WriteClaim || command instanceof Command.ReadClaim) {
-            claims.put(command);
+        } else if (isForStore(command)) {
+            store.put(command);
+        } else if (command instanceof Command.SendOrder) {
+            orders.put(command);
         } else if (isForPeers(command)) {
             peers.put(command);
         } else if (command instanceof Command.NoteDecision || command instanceof Command.ActivateConfiguration) {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/Node.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/Node.java
@@ -20,19 +20,22 @@
 import org.lovagethread.node.duty.Supervisor;
 import org.lovagethread.node.peer.HandOverDesk;
 import org.lovagethread.node.peer.PeerDuty;
-import org.lovagethread.node.platform.ClaimDuty;
 import org.lovagethread.node.platform.ConfigurationDuty;
 import org.lovagethread.node.platform.DirectoryDuty;
 import org.lovagethread.node.platform.InstanceDuty;
 import org.lovagethread.node.platform.NoticeDuty;
+import org.lovagethread.node.platform.OrderDuty;
 import org.lovagethread.node.platform.SheetHolder;
+import org.lovagethread.node.platform.StoreDuty;
 import org.lovagethread.node.telemetry.Explanations;
 import org.lovagethread.node.telemetry.NodeMetrics;
 import org.lovagethread.node.telemetry.TelemetryDuty;
 import org.lovagethread.node.upstream.UpstreamDuty;
+import org.lovagethread.platform.engines.EngineClient;
 import org.lovagethread.platform.instances.InstanceClient;
 import org.lovagethread.platform.objects.ClaimStore;
 import org.lovagethread.platform.objects.ConfigurationStore;
+import org.lovagethread.platform.objects.LeaseStore;
 import org.lovagethread.platform.objects.NodeDirectory;
 import org.lovagethread.platform.objects.NodeEntry;
 import org.lovagethread.platform.objects.ObjectApiClient;
@@ -54,7 +57,8 @@
     private final CountDownLatch exit = new CountDownLatch(1);
     private final Ring<Event> events = new Ring<>(EVENT_CAPACITY);
     private final Ring<Command> callerCommands = new Ring<>(COMMAND_CAPACITY);
-    private final Ring<Command> claimCommands = new Ring<>(COMMAND_CAPACITY);
+    private final Ring<Command> orderCommands = new Ring<>(COMMAND_CAPACITY);
+    private final Ring<Command> storeCommands = new Ring<>(COMMAND_CAPACITY);
     private final Ring<Command> peerCommands = new Ring<>(COMMAND_CAPACITY);
     private final Ring<Command> telemetryCommands = new Ring<>(COMMAND_CAPACITY);
     private final Ring<Command> upstreamCommands = new Ring<>(COMMAND_CAPACITY);
@@ -187,7 +191,13 @@
     private void startDecisions() {
         Core core = new Core(coreSettings);
         CommandRouter router = new CommandRouter(
-                callerCommands, upstreamCommands, claimCommands, peerCommands, telemetryCommands, exit::countDown);
+                callerCommands,
+                upstreamCommands,
+                storeCommands,
+                orderCommands,
+                peerCommands,
+                telemetryCommands,
+                exit::countDown);
         CommandSink sink = command -> {
             if (command instanceof Command.ActivateConfiguration activate) {
                 revision.set(activate.revision());
@@ -210,7 +220,9 @@
                 coreSettings.zone(),
                 coreSettings.incarnation(),
                 0);
-        platform.start(new ClaimDuty(new ClaimStore(objects), claimCommands, events::put));
+        LeaseStore leases = new LeaseStore(objects, settings.text(NodeKeys.CELL));
+        platform.start(new StoreDuty(new ClaimStore(objects), leases, storeCommands, events::put));
+        platform.start(new OrderDuty(new EngineClient(), clock, orderCommands, events::put));
         platform.start(new ConfigurationDuty(new ConfigurationStore(objects, Clock.systemUTC()), sheets));
         platform.start(new DirectoryDuty(directory, self, clock, events::put, peers::peerAddresses));
         platform.start(new InstanceDuty(instances, events::put));
--- /dev/null
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/engines/EngineClient.java
@@ -0,0 +1,56 @@
+package org.lovagethread.platform.engines;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import org.lovagethread.core.lease.OrderOutcome;
+import org.lovagethread.platform.Json;
+
+/** Gives orders to model engines. */
+public final class EngineClient {
+    private static final int CONFLICT = 409;
+    private static final int OK = 200;
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(TIMEOUT)
+            .build();
+
+    /**
+     * Orders an engine to load a model version.
+     *
+     * @param address the host and port of the engine
+     * @param fence the fencing number of the lease
+     * @param version the model and version, as {@code model@version}
+     * @return how the order ended
+     */
+    public OrderOutcome load(String address, long fence, String version) {
+        ObjectNode body = Json.mapper()
+                .createObjectNode()
+                .put("fence", fence)
+                .put("order", "load")
+                .put("version", version);
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/v1/orders"))
+                .timeout(TIMEOUT)
+                .POST(HttpRequest.BodyPublishers.ofString(body.toString()))
+                .build();
+        try {
+            int status =
+                    http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+            if (status == CONFLICT) {
+                return OrderOutcome.FENCED;
+            }
+            return status == OK ? OrderOutcome.TAKEN : OrderOutcome.NO_ANSWER;
+        } catch (IOException e) {
+            return OrderOutcome.NO_ANSWER;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return OrderOutcome.NO_ANSWER;
+        }
+    }
+}
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/ClaimStore.java
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/ClaimStore.java
@@ -1,14 +1,10 @@
 package org.lovagethread.platform.objects;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.lovagethread.core.command.Command;
 import org.lovagethread.core.event.Event;
 import org.lovagethread.core.store.Claim;
-import org.lovagethread.core.store.StoreStatus;
-import org.lovagethread.platform.Json;
 
 /** Carries out the core's commands about claims on idempotency keys. */
 public final class ClaimStore {
@@ -43,27 +39,12 @@
      * @return the event that tells the core the result
      */
     public CompletableFuture<Event> write(Command.WriteClaim command) {
-        byte[] value;
-        try {
-            value = Json.mapper().writeValueAsBytes(command.claim());
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a claim cannot be written as JSON", e);
-        }
-        return objects.write(PREFIX + command.key(), command.expectedVersion(), value)
+        return objects.write(PREFIX + command.key(), command.expectedVersion(), StoredJson.write(command.claim()))
                 .thenApply(reply -> event(command.operationId(), reply));
     }
 
     private static Event event(long operationId, ObjectReply reply) {
-        boolean carriesClaim = reply.status() == StoreStatus.FOUND || reply.status() == StoreStatus.CONFLICT;
-        Optional<Claim> claim = carriesClaim ? reply.value().flatMap(ClaimStore::parse) : Optional.empty();
+        Optional<Claim> claim = StoredJson.read(reply, Claim.class);
         return new Event.ClaimReplied(operationId, reply.status(), reply.version(), claim);
     }
-
-    private static Optional<Claim> parse(byte[] value) {
-        try {
-            return Optional.of(Json.mapper().readValue(value, Claim.class));
-        } catch (IOException e) {
-            return Optional.empty();
-        }
-    }
 }
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/ConfigurationStore.java
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/ConfigurationStore.java
@@ -1,6 +1,5 @@
 package org.lovagethread.platform.objects;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Clock;
@@ -175,12 +174,7 @@
     }
 
     private ApplyResult moveRoot(StoredRoot base, ConfigurationRoot next, String writer) {
-        byte[] value;
-        try {
-            value = Json.mapper().writeValueAsBytes(next);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a root cannot be written as JSON", e);
-        }
+        byte[] value = StoredJson.write(next);
         long settleByMillis = clock.millis() + SETTLE_MILLIS;
         boolean uncertain = false;
         do {
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/NodeDirectory.java
+++ b/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/NodeDirectory.java
@@ -46,12 +46,7 @@
      * @return true if the service confirmed it
      */
     public boolean register(NodeEntry entry) {
-        byte[] value;
-        try {
-            value = Json.mapper().writeValueAsBytes(entry);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a node entry cannot be written as JSON", e);
-        }
+        byte[] value = StoredJson.write(entry);
         String path = PREFIX + cell + "/" + entry.node();
         long version = objects.read(path).join().version();
         return objects.write(path, version, value).join().status() == StoreStatus.WRITTEN;
--- a/lovagethread-standins/src/main/java/org/lovagethread/standins/CloudApi.java
+++ b/lovagethread-standins/src/main/java/org/lovagethread/standins/CloudApi.java
@@ -42,7 +42,8 @@
 
     private void register(Exchange exchange) {
         ObjectNode instance = (ObjectNode) exchange.json();
-        instance.put("leaving", false);
+        ObjectNode earlier = instances.get(instance.get("id").asText());
+        instance.put("leaving", earlier != null && earlier.get("leaving").asBoolean());
         instances.put(instance.get("id").asText(), instance);
         exchange.reply(200, Map.of("ok", true));
     }
--- a/lovagethread-standins/src/main/java/org/lovagethread/standins/EngineStream.java
+++ b/lovagethread-standins/src/main/java/org/lovagethread/standins/EngineStream.java
@@ -14,6 +14,7 @@
     int nextChunk;
     int prefillLeft;
     boolean importing;
+    private boolean ended;
 
     EngineStream(
             Exchange exchange,
@@ -44,10 +45,11 @@
         if (nextChunk > chunks) {
             exchange.streamLine(Map.of("request", identity, "end", true, "chunks", chunks));
             exchange.endStream();
+            ended = true;
         }
     }
 
     boolean done() {
-        return nextChunk > chunks;
+        return ended;
     }
 }
