--- a/lovagethread-core/src/main/java/org/lovagethread/core/lease/LeaseKeeper.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/lease/LeaseKeeper.java
@@ -32,6 +32,7 @@
     private Optional<Lease> held = Optional.empty();
     private Optional<Lease> writing = Optional.empty();
     private long deadlineMillis;
+    private long firstSentMillis;
     private long lastTickMillis;
     private long nextLookMillis;
     private long operationCounter;
@@ -85,7 +86,7 @@
         }
         operationId = 0;
         switch (reply.status()) {
-            case WRITTEN -> taken(reply.version());
+            case WRITTEN -> taken(reply.version(), operationSentMillis);
             case FOUND, CONFLICT -> seen(reply, nowMillis);
             case MISSING -> write(new Lease(newToken(), settings.node(), 1, 0), 0, nowMillis);
             case REJECTED, NO_ANSWER -> nextLookMillis = nowMillis + PAUSE_MILLIS;
@@ -149,7 +150,7 @@
         boolean ours =
                 writing.filter(lease -> lease.token().equals(stored.token())).isPresent();
         if (ours && writing.get().renewal() == stored.renewal()) {
-            taken(reply.version());
+            taken(reply.version(), firstSentMillis);
             return;
         }
         held = Optional.empty();
@@ -163,13 +164,16 @@
         }
     }
 
-    private void taken(long storedVersion) {
+    /** Holds the lease from the time at which the write that is known to have taken effect was first sent. */
+    private void taken(long storedVersion, long sentMillis) {
         held = writing;
         version = storedVersion;
-        deadlineMillis = operationSentMillis + LEASE_MILLIS;
+        deadlineMillis = sentMillis + LEASE_MILLIS;
     }
 
     private void write(Lease lease, long expectedVersion, long nowMillis) {
+        boolean repeated = writing.filter(lease::equals).isPresent();
+        firstSentMillis = repeated ? firstSentMillis : nowMillis;
         writing = Optional.of(lease);
         operationId = ++operationCounter;
         operationSentMillis = nowMillis;
--- /dev/null
+++ b/lovagethread-core/src/test/java/org/lovagethread/core/lease/LeaseKeeperTest.java
@@ -0,0 +1,136 @@
+package org.lovagethread.core.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagethread.core.CoreSettings;
+import org.lovagethread.core.command.Command;
+import org.lovagethread.core.command.Outbox;
+import org.lovagethread.core.event.Event;
+import org.lovagethread.core.store.Lease;
+import org.lovagethread.core.store.StoreStatus;
+
+/** Tests {@link LeaseKeeper}. */
+class LeaseKeeperTest {
+    private static final long STEP_MILLIS = 100;
+    private static final Lease OTHER = new Lease("node-9#1#1", "node-9", 5, 3);
+
+    private final Outbox out = new Outbox();
+    private final LeaseKeeper keeper =
+            new LeaseKeeper(CoreSettings.builder("node-1").address("h:1").build(), out);
+    private long now = 1_000_000;
+
+    /** Ticks for a while and returns the commands. */
+    private List<Command> tick(long millis) {
+        for (long until = now + millis; now < until; now += STEP_MILLIS) {
+            keeper.ticked(true, now);
+        }
+        return out.drain();
+    }
+
+    private void reply(long operationId, StoreStatus status, long version, Lease lease) {
+        keeper.replied(new Event.LeaseReplied(operationId, status, version, Optional.ofNullable(lease)), now);
+    }
+
+    private void acquire() {
+        Command.ReadLease read = (Command.ReadLease) tick(STEP_MILLIS).get(0);
+        reply(read.operationId(), StoreStatus.MISSING, 0, null);
+        Command.WriteLease write = (Command.WriteLease) out.drain().get(0);
+        reply(write.operationId(), StoreStatus.WRITTEN, 1, null);
+    }
+
+    @Nested
+    class Holding {
+        @Test
+        void endsAtTheDeadlineCountedFromBeforeTheRenewalWasSent() {
+            acquire();
+            assertThat(keeper.held(now + LeaseKeeper.LEASE_MILLIS - 1)).isPresent();
+            assertThat(keeper.held(now + LeaseKeeper.LEASE_MILLIS)).isEmpty();
+        }
+
+        @Test
+        void isNotProlongedByAnAnswerThatComesLate() {
+            acquire();
+            Command.WriteLease renewal = (Command.WriteLease)
+                    tick(LeaseKeeper.RENEW_MILLIS + STEP_MILLIS).get(0);
+            long sent = now - STEP_MILLIS;
+            tick(3_000);
+            reply(renewal.operationId(), StoreStatus.WRITTEN, 2, null);
+            assertThat(keeper.held(sent + LeaseKeeper.LEASE_MILLIS)).isEmpty();
+        }
+
+        @Test
+        void isGivenUpAfterAPauseBeforeTheDeadline() {
+            acquire();
+            now += LeaseKeeper.PAUSE_MILLIS + STEP_MILLIS;
+            keeper.ticked(true, now);
+            assertThat(keeper.held(now)).isEmpty();
+        }
+
+        @Test
+        void limitsOrdersToTheLease() {
+            acquire();
+            long late = now + LeaseKeeper.LEASE_MILLIS - 10;
+            assertThat(keeper.orderDeadline(late)).isLessThanOrEqualTo(now + LeaseKeeper.LEASE_MILLIS);
+            assertThat(keeper.orderDeadline(now)).isEqualTo(now + LeaseKeeper.ORDER_LIFE_MILLIS);
+        }
+
+        @Test
+        void countsFromTheFirstSendWhenTheAnswerToTheRenewalWasLost() {
+            acquire();
+            long sent = now + LeaseKeeper.RENEW_MILLIS;
+            Command.WriteLease renewal = (Command.WriteLease)
+                    tick(LeaseKeeper.RENEW_MILLIS + STEP_MILLIS).get(0);
+            reply(renewal.operationId(), StoreStatus.NO_ANSWER, 0, null);
+            Command.WriteLease again = (Command.WriteLease) tick(1_500).get(0);
+            reply(again.operationId(), StoreStatus.CONFLICT, 2, renewal.lease());
+            assertThat(keeper.held(now)).contains(renewal.lease());
+            assertThat(keeper.held(sent + LeaseKeeper.LEASE_MILLIS)).isEmpty();
+        }
+    }
+
+    @Nested
+    class TakingOver {
+        private List<Command> watch(long millis) {
+            long until = now + millis;
+            while (now < until) {
+                for (Command command : tick(STEP_MILLIS)) {
+                    if (command instanceof Command.ReadLease read) {
+                        reply(read.operationId(), StoreStatus.FOUND, 7, OTHER);
+                    }
+                }
+            }
+            return out.drain();
+        }
+
+        @Test
+        void waitsForTheWholeLeaseAndTheLongestOrder() {
+            assertThat(watch(LeaseKeeper.LEASE_MILLIS + LeaseKeeper.ORDER_LIFE_MILLIS - STEP_MILLIS))
+                    .isEmpty();
+        }
+
+        @Test
+        void raisesTheFencingNumber() {
+            long patience = LeaseKeeper.LEASE_MILLIS + LeaseKeeper.ORDER_LIFE_MILLIS + 2 * LeaseKeeper.RENEW_MILLIS;
+            long until = now + patience;
+            while (now < until) {
+                for (Command command : tick(STEP_MILLIS)) {
+                    if (command instanceof Command.ReadLease read) {
+                        reply(read.operationId(), StoreStatus.FOUND, 7, OTHER);
+                    }
+                }
+                List<Command> writes = out.drain();
+                if (!writes.isEmpty()) {
+                    Command.WriteLease write = (Command.WriteLease) writes.get(0);
+                    assertThat(write.expectedVersion()).isEqualTo(7);
+                    assertThat(write.lease().fence()).isEqualTo(OTHER.fence() + 1);
+                    return;
+                }
+            }
+            assertThat(patience).as("time without a takeover").isZero();
+        }
+    }
+}
--- a/lovagethread-core/src/test/resources/features/8-orders.feature
+++ b/lovagethread-core/src/test/resources/features/8-orders.feature
@@ -79,3 +79,11 @@
     And revision 100 is in the Object API
     Then every engine serves m@2 within 60000 ms
     And no engine obeyed a stale order
+
+  Scenario: Two nodes want the lease, and engines ignore fencing numbers
+    Given engines ignore fencing numbers
+    When node-1 is cut off from its peers
+    And 8000 ms pass
+    And revision 100 is in the Object API
+    Then every engine serves m@2 within 60000 ms
+    And no engine obeyed a stale order
--- /dev/null
+++ b/lovagethread-node/src/test/java/org/lovagethread/node/DocumentsTest.java
@@ -0,0 +1,44 @@
+package org.lovagethread.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.lovagethread.core.error.ErrorKind;
+import org.lovagethread.platform.settings.SettingKey;
+
+/** Holds the documents and the tables in the code together. */
+class DocumentsTest {
+    private static final Path DOCS = Path.of("..", "docs");
+
+    private static String errorRow(ErrorKind kind) {
+        return "| `" + kind.label() + "` | " + kind.status() + " | "
+                + kind.runState().label() + " | " + (kind.retryable() ? "yes" : "no") + " | " + kind.message() + " |";
+    }
+
+    private static String settingRow(SettingKey key) {
+        String fallback = key.fallback().map(value -> "`" + value + "`").orElse("required");
+        String range = key.most() > 0
+                ? key.least() + " to " + key.most()
+                : key.type().name().toLowerCase(java.util.Locale.ROOT);
+        return "| `" + key.section() + "` | `" + key.name() + "` | " + fallback + " | " + range + " | "
+                + key.description() + " |";
+    }
+
+    @Test
+    void apiPageShowsTheTableOfErrors() throws IOException {
+        String expected =
+                Arrays.stream(ErrorKind.values()).map(DocumentsTest::errorRow).collect(Collectors.joining("\n"));
+        assertThat(Files.readString(DOCS.resolve("API.md"))).contains(expected);
+    }
+
+    @Test
+    void settingsPageShowsEveryKey() throws IOException {
+        String expected = NodeKeys.all().stream().map(DocumentsTest::settingRow).collect(Collectors.joining("\n"));
+        assertThat(Files.readString(DOCS.resolve("SETTINGS.md"))).contains(expected);
+    }
+}
