--- /dev/null
+++ b/lovagethread-bench/src/main/java/org/lovagethread/bench/ControlBench.java
@@ -0,0 +1,77 @@
+package org.lovagethread.bench;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.lovagethread.core.member.LeavingUpstream;
+import org.lovagethread.core.member.MemberTable;
+import org.lovagethread.core.member.PeerState;
+import org.lovagethread.platform.sheet.SheetParser;
+import org.lovagethread.wire.PeerCodec;
+import org.lovagethread.wire.PeerMessage;
+
+/** Measures the size of heartbeats and the time to read a sheet, over several sizes. */
+final class ControlBench {
+    private static final int[] CUSTOMERS = {5, 50, 500, 5_000};
+    private static final int FRAME_BYTES = 4;
+    private static final int[] LEAVING = {0, 4, 16, 64, 120};
+    private static final int[] MEMBERS = {6, 9, 12, 48, 340};
+    private static final long NANOS_PER_MICRO = 1_000;
+    private static final int ROUNDS = 200;
+
+    private ControlBench() {}
+
+    static void run() {
+        System.out.printf("%-10s %8s %12s%n", "HEARTBEAT", "LEAVING", "BYTES");
+        for (int leaving : LEAVING) {
+            System.out.printf("%-10s %8d %12d%n", "", leaving, heartbeatBytes(leaving));
+        }
+        System.out.printf("%n%-10s %8s %16s %16s%n", "SENT", "MEMBERS", "BYTES/S IDLE", "BYTES/S WAVE");
+        for (int members : MEMBERS) {
+            long perSecond = (members - 1) * 1_000L / MemberTable.HEARTBEAT_PERIOD_MILLIS;
+            System.out.printf(
+                    "%-10s %8d %16d %16d%n",
+                    "", members, perSecond * heartbeatBytes(0), perSecond * heartbeatBytes(16));
+        }
+        System.out.printf("%n%-10s %8s %12s %14s%n", "SHEET", "ROWS", "BYTES", "MICROS/READ");
+        for (int customers : CUSTOMERS) {
+            sheet(customers);
+        }
+    }
+
+    private static int heartbeatBytes(int leaving) {
+        List<LeavingUpstream> marks = new ArrayList<>();
+        for (int i = 0; i < leaving; i++) {
+            marks.add(new LeavingUpstream("assistant-" + i, 1_796_362_800_000L));
+        }
+        PeerState state = new PeerState(
+                "node-123",
+                1_796_362_800_000L,
+                86_400,
+                "10.20.30.40:17201",
+                "10.20.30.40:17301",
+                "highlands-a",
+                false,
+                800,
+                marks);
+        return PeerCodec.encode(new PeerMessage.Heartbeat(state)).getSerializedSize() + FRAME_BYTES;
+    }
+
+    private static void sheet(int customers) {
+        StringBuilder text = new StringBuilder(String.join(",", SheetParser.COLUMNS)).append('\n');
+        text.append("service,assistant,,model,m,1,790,63,yes,,,\n");
+        for (int i = 0; i < customers; i++) {
+            text.append("customer,customer-").append(i).append(",,,,,,,,100,1,\n");
+        }
+        byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
+        for (int i = 0; i < ROUNDS; i++) {
+            SheetParser.parse(bytes);
+        }
+        long started = System.nanoTime();
+        for (int i = 0; i < ROUNDS; i++) {
+            SheetParser.parse(bytes);
+        }
+        long micros = (System.nanoTime() - started) / ROUNDS / NANOS_PER_MICRO;
+        System.out.printf("%-10s %8d %12d %14d%n", "", customers + 1, bytes.length, micros);
+    }
+}
--- a/lovagethread-core/src/main/java/org/lovagethread/core/Core.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/Core.java
@@ -228,7 +228,8 @@
     }
 
     private void ticked(long nowMillis) {
-        lease.ticked(!stopping && members.first(nowMillis), nowMillis);
+        boolean holds = lease.held(nowMillis).isPresent();
+        lease.ticked(!stopping && (holds || members.first(nowMillis)), nowMillis);
         rollout.ticked(configuration, nowMillis);
         calls.ticked(nowMillis);
         if (nowMillis >= nextHeartbeatMillis) {
