Rank engines by predicted time to first token; routing policies measured in one run

Cause: attempts went to the upstream with the fewest of the node's own attempts, so a long prompt met an engine that did not hold its prefix in most cases.

Change: the cost of an engine is the predicted time to the first token: prompt tokens that it probably has to process (a memory of where prefixes were sent), the node's own prompts that wait there, attempts in flight of all nodes (heartbeats now carry them) and distance. Baselines are kept as further policies.

Ruled out: a poll of every engine's load by every node (it lags more than a heartbeat, and costs nodes times engines of calls).

--- a/lovagethread-bench/src/main/java/org/lovagethread/bench/ControlBench.java
+++ b/lovagethread-bench/src/main/java/org/lovagethread/bench/ControlBench.java
@@ -6,6 +6,7 @@
 import org.lovagethread.core.member.LeavingUpstream;
 import org.lovagethread.core.member.MemberTable;
 import org.lovagethread.core.member.PeerState;
+import org.lovagethread.core.upstream.UpstreamLoad;
 import org.lovagethread.platform.sheet.SheetParser;
 import org.lovagethread.wire.PeerCodec;
 import org.lovagethread.wire.PeerMessage;
@@ -18,6 +19,7 @@
     private static final int[] MEMBERS = {6, 9, 12, 48, 340};
     private static final long NANOS_PER_MICRO = 1_000;
     private static final int ROUNDS = 200;
+    private static final int UPSTREAMS = 11;
 
     private ControlBench() {}
 
@@ -53,10 +55,20 @@
                 "highlands-a",
                 false,
                 800,
+                loads(),
                 marks);
         return PeerCodec.encode(new PeerMessage.Heartbeat(state)).getSerializedSize() + FRAME_BYTES;
     }
 
+    /** Returns the reports of a node that has attempts at every upstream of today's larger deployment. */
+    private static List<UpstreamLoad> loads() {
+        List<UpstreamLoad> loads = new ArrayList<>();
+        for (int i = 1; i <= UPSTREAMS; i++) {
+            loads.add(new UpstreamLoad("assistant-" + i, 7));
+        }
+        return loads;
+    }
+
     private static void sheet(int customers) {
         StringBuilder text = new StringBuilder(String.join(",", SheetParser.COLUMNS)).append('\n');
         text.append("service,assistant,,model,m,1,790,63,yes,,,\n");
--- a/lovagethread-bench/src/main/java/org/lovagethread/bench/CoreDriver.java
+++ b/lovagethread-bench/src/main/java/org/lovagethread/bench/CoreDriver.java
@@ -114,8 +114,8 @@
         sequence++;
         for (int i = 1; i < members; i++) {
             String name = String.format("node-%03d", i);
-            handle(new Event.PeerHeard(
-                    new PeerState(name, 1, sequence, "10.0.2." + i + ":80", "p", "z1", false, 1, List.of())));
+            handle(new Event.PeerHeard(new PeerState(
+                    name, 1, sequence, "10.0.2." + i + ":80", "p", "z1", false, 1, List.of(), List.of())));
         }
     }
 }
--- /dev/null
+++ b/lovagethread-bench/src/main/java/org/lovagethread/bench/PolicyBench.java
@@ -0,0 +1,46 @@
+package org.lovagethread.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import org.lovagethread.core.upstream.RoutingPolicy;
+
+/** Compares the routing policies over both workloads, with a wave of reclaims in each run. */
+final class PolicyBench {
+    private static final long[] SEEDS = {1, 2, 3};
+
+    private PolicyBench() {}
+
+    static void run() {
+        System.out.printf(
+                "%-12s %-16s %7s %10s %9s %10s %12s %8s%n",
+                "WORKLOAD", "POLICY", "CALLS", "IN TARGET", "P95 MS", "COMPUTED", "RECOMPUTED", "REFUSED");
+        for (Workload workload : Workload.values()) {
+            for (RoutingPolicy policy : RoutingPolicy.values()) {
+                report(workload, policy);
+            }
+        }
+        System.out.println("seeds 1, 2, 3; each figure is the mean of the three runs");
+    }
+
+    private static double mean(List<PolicyRun.Outcome> outcomes, ToDoubleFunction<PolicyRun.Outcome> figure) {
+        return outcomes.stream().mapToDouble(figure).average().orElse(0);
+    }
+
+    private static void report(Workload workload, RoutingPolicy policy) {
+        List<PolicyRun.Outcome> outcomes = new ArrayList<>();
+        for (long seed : SEEDS) {
+            outcomes.add(new PolicyRun(workload, policy, seed).run());
+        }
+        System.out.printf(
+                "%-12s %-16s %7.0f %9.1f%% %9.0f %9.1f%% %11.1f%% %8.1f%n",
+                workload.name().toLowerCase(java.util.Locale.ROOT),
+                policy.name().toLowerCase(java.util.Locale.ROOT),
+                mean(outcomes, PolicyRun.Outcome::calls),
+                100 * mean(outcomes, PolicyRun.Outcome::inTarget),
+                mean(outcomes, PolicyRun.Outcome::p95Millis),
+                100 * mean(outcomes, PolicyRun.Outcome::computedShare),
+                100 * mean(outcomes, PolicyRun.Outcome::recomputedShare),
+                mean(outcomes, PolicyRun.Outcome::refused));
+    }
+}
--- a/lovagethread-core/src/main/java/org/lovagethread/core/Core.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/Core.java
@@ -58,7 +58,7 @@
         members = new MemberTable(settings);
         lease = new LeaseKeeper(settings, out);
         rollout = new Rollout(lease, upstreams, out);
-        Router router = new Router(settings.region(), settings.zone(), new SplittableRandom(settings.seed()));
+        Router router = new Router(settings, new SplittableRandom(settings.seed()));
         calls = new Calls(settings, () -> configuration, limits, router, upstreams, members, this::ownerGone, out);
     }
 
@@ -157,6 +157,7 @@
                 settings.zone(),
                 stopping,
                 configuration.map(Configuration::revision).orElse(0L),
+                upstreams.loads(),
                 upstreams.leaving())));
     }
 
@@ -185,6 +186,7 @@
         if (!members.heard(state, nowMillis)) {
             return;
         }
+        upstreams.reported(members.loads(nowMillis));
         if (state.revision() > configuration.map(Configuration::revision).orElse(0L)) {
             out.add(new Command.RequestConfiguration(state.peerAddress(), state.revision()));
         }
--- a/lovagethread-core/src/main/java/org/lovagethread/core/CoreSettings.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/CoreSettings.java
@@ -1,6 +1,7 @@
 package org.lovagethread.core;
 
 import java.util.Objects;
+import org.lovagethread.core.upstream.RoutingPolicy;
 
 /** Holds the settings of one decision core. */
 public final class CoreSettings {
@@ -10,6 +11,7 @@
     private final String node;
     private final String peerAddress;
     private final String region;
+    private final RoutingPolicy routingPolicy;
     private final long seed;
     private final long stopGraceMillis;
     private final String zone;
@@ -21,6 +23,7 @@
         node = Checks.notBlank(builder.node, "node");
         peerAddress = Objects.requireNonNull(builder.peerAddress, "peer address");
         region = Objects.requireNonNull(builder.region, "region");
+        routingPolicy = Objects.requireNonNull(builder.routingPolicy, "routing policy");
         seed = builder.seed;
         stopGraceMillis = Checks.inRange(builder.stopGraceMillis, 0, 3_600_000, "stop grace in ms");
         zone = Objects.requireNonNull(builder.zone, "zone");
@@ -90,6 +93,15 @@
         return region;
     }
 
+    /**
+     * Returns the way to rank upstreams.
+     *
+     * @return the policy, never null
+     */
+    public RoutingPolicy routingPolicy() {
+        return routingPolicy;
+    }
+
     /**
      * Returns the seed of the core's random numbers.
      *
@@ -125,6 +137,7 @@
         private long incarnation = 1;
         private String peerAddress = "";
         private String region = "";
+        private RoutingPolicy routingPolicy = RoutingPolicy.PREDICTED;
         private long seed;
         private long stopGraceMillis = 30_000;
         private String zone = "";
@@ -198,6 +211,17 @@
             return this;
         }
 
+        /**
+         * Sets the way to rank upstreams.
+         *
+         * @param value the policy
+         * @return this builder
+         */
+        public Builder routingPolicy(RoutingPolicy value) {
+            routingPolicy = value;
+            return this;
+        }
+
         /**
          * Sets the seed of the random numbers.
          *
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/Dispatcher.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/Dispatcher.java
@@ -87,6 +87,9 @@
 
     /** Forgets an attempt that has ended. */
     void release(Attempt attempt, AttemptOutcome outcome, long nowMillis) {
+        if (!attempt.delivering()) {
+            table.call(attempt.callId).ifPresent(call -> prefilled(attempt, call));
+        }
         table.remove(attempt);
         upstreams.ended(attempt.upstream, outcome, nowMillis);
     }
@@ -110,7 +113,7 @@
         call.phase = CallPhase.RUNNING;
         table.add(attempt);
         table.wakeAt(attempt.progressDeadlineMillis, call);
-        upstreams.started(upstream.id());
+        upstreams.started(upstream.id(), call.request.promptTokens());
         out.add(new Command.StartAttempt(
                 attempt.id,
                 call.id(),
@@ -125,6 +128,11 @@
         return Optional.of(attempt);
     }
 
+    /** Records that an attempt has given its first token, or has ended without one. */
+    void prefilled(Attempt attempt, Call call) {
+        upstreams.prefilled(attempt.upstream, call.request.promptTokens());
+    }
+
     /** Returns the time without progress after which an attempt of the call is given up. */
     long stallMillis(Call call) {
         long promise = configuration
@@ -147,7 +155,7 @@
         if (candidates.isEmpty() && call.attempts.isEmpty()) {
             candidates = upstreams.candidates(call.request.service(), Set.of());
         }
-        return router.choose(candidates, nowMillis);
+        return router.choose(candidates, call.request, nowMillis);
     }
 
     private int priority(Call call) {
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/StreamFlow.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/StreamFlow.java
@@ -94,6 +94,7 @@
         }
         if (!attempt.delivering()) {
             attempt.firstProgressMillis = nowMillis;
+            dispatcher.prefilled(attempt, call);
             cancelOthers(call, attempt, nowMillis);
         }
         attempt.progressDeadlineMillis = nowMillis + dispatcher.stallMillis(call);
--- a/lovagethread-core/src/main/java/org/lovagethread/core/member/MemberTable.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/member/MemberTable.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import org.lovagethread.core.CoreSettings;
 import org.lovagethread.core.status.NodeStatus;
+import org.lovagethread.core.upstream.UpstreamLoad;
 
 /**
  * Holds the last state heard from each peer and judges which peers are alive.
@@ -132,6 +133,19 @@
         return true;
     }
 
+    /**
+     * Returns what the peers that are alive have in flight at upstreams.
+     *
+     * @param nowMillis the present time in milliseconds since the epoch
+     * @return the reports of all these peers
+     */
+    public List<UpstreamLoad> loads(long nowMillis) {
+        return members.values().stream()
+                .filter(member -> member.status(nowMillis) == MemberStatus.ALIVE)
+                .flatMap(member -> member.state.loads().stream())
+                .toList();
+    }
+
     /**
      * Returns the state last heard from each peer.
      *
--- a/lovagethread-core/src/main/java/org/lovagethread/core/member/PeerState.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/member/PeerState.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.lovagethread.core.Checks;
+import org.lovagethread.core.upstream.UpstreamLoad;
 
 /**
  * Holds what one node tells its peers with each heartbeat.
@@ -15,6 +16,7 @@
  * @param zone the availability zone
  * @param stopping whether the node plans to stop
  * @param revision the configuration revision in force; zero if none
+ * @param loads the attempts that the node has in flight at upstreams
  * @param leavingUpstreams the upstreams that the node knows to be leaving
  */
 public record PeerState(
@@ -26,6 +28,7 @@
         String zone,
         boolean stopping,
         long revision,
+        List<UpstreamLoad> loads,
         List<LeavingUpstream> leavingUpstreams) {
 
     /** Validates the fields and copies the list. */
@@ -34,6 +37,7 @@
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(peerAddress, "peer address");
         Objects.requireNonNull(zone, "zone");
+        loads = List.copyOf(loads);
         leavingUpstreams = List.copyOf(leavingUpstreams);
     }
 
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/PrefixMemory.java
@@ -0,0 +1,46 @@
+package org.lovagethread.core.upstream;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Remembers at which upstreams this node has lately sent a prompt prefix.
+ *
+ * <p>It is a hint: an upstream may have dropped the prefix from its cache since.
+ */
+public final class PrefixMemory {
+    /** The most pairs of prefix and upstream that are remembered. */
+    public static final int MOST_ENTRIES = 8_192;
+
+    private final Map<Entry, Boolean> entries = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Entry, Boolean> eldest) {
+            return size() > MOST_ENTRIES;
+        }
+    };
+
+    private record Entry(String prefixKey, String upstream) {}
+
+    /**
+     * Notes that a prompt with a prefix was sent to an upstream.
+     *
+     * @param prefixKey the digest of the prefix; an empty text is passed over
+     * @param upstream the identifier of the upstream
+     */
+    public void sent(String prefixKey, String upstream) {
+        if (!prefixKey.isEmpty()) {
+            entries.put(new Entry(prefixKey, upstream), true);
+        }
+    }
+
+    /**
+     * Tests whether an upstream probably holds a prefix in its cache.
+     *
+     * @param prefixKey the digest of the prefix; an empty text is never held
+     * @param upstream the identifier of the upstream
+     * @return true if the prefix was sent there and has not been displaced from this memory
+     */
+    public boolean holds(String prefixKey, String upstream) {
+        return !prefixKey.isEmpty() && entries.containsKey(new Entry(prefixKey, upstream));
+    }
+}
--- a/lovagethread-core/src/main/java/org/lovagethread/core/upstream/Router.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/Router.java
@@ -3,60 +3,75 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.lovagethread.core.CoreSettings;
+import org.lovagethread.core.call.CallRequest;
 
 /** Chooses the upstream for an attempt. */
 public final class Router {
-    private static final double OTHER_REGION_COST = 8.0;
-    private static final double OTHER_ZONE_COST = 0.5;
+    /** Cost of a way to another availability zone of the region, in milliseconds. */
+    public static final double OTHER_ZONE_MILLIS = 3.0;
 
-    private final String region;
-    private final String zone;
+    /** Cost of a way to another region, in milliseconds; the link is slow and billed by volume. */
+    public static final double OTHER_REGION_MILLIS = 60.0;
+
+    private static final double TIE_BREAK = 0.01;
+
+    private final PrefixMemory prefixes = new PrefixMemory();
     private final SplittableRandom random;
+    private final CoreSettings settings;
 
     /**
      * Creates a router.
      *
-     * @param region the region of this node
-     * @param zone the availability zone of this node
-     * @param random the source of random numbers that breaks ties
+     * @param settings the settings of the node
+     * @param random the source of random numbers
      */
-    public Router(String region, String zone, SplittableRandom random) {
-        this.region = region;
-        this.zone = zone;
+    public Router(CoreSettings settings, SplittableRandom random) {
+        this.settings = settings;
         this.random = random;
     }
 
     /**
-     * Chooses the candidate with the lowest cost.
+     * Chooses the candidate with the lowest cost; upstreams with recent failures are used only if all have them.
      *
      * @param candidates the upstreams to choose from
+     * @param request the call
      * @param nowMillis the present time in milliseconds since the epoch
      * @return the choice, or empty if there are no candidates
      */
-    public Optional<Upstream> choose(List<Upstream> candidates, long nowMillis) {
+    public Optional<Upstream> choose(List<Upstream> candidates, CallRequest request, long nowMillis) {
         List<Upstream> healthy = candidates.stream()
                 .filter(upstream -> !upstream.avoided(nowMillis))
                 .toList();
         List<Upstream> pool = healthy.isEmpty() ? candidates : healthy;
+        int shift = pool.isEmpty() ? 0 : random.nextInt(pool.size());
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
-        for (Upstream upstream : pool) {
-            double cost = cost(upstream) + random.nextDouble() * 0.01;
+        for (int i = 0; i < pool.size(); i++) {
+            int draw = (i + shift) % pool.size();
+            double cost = cost(pool.get(i), request, draw) + random.nextDouble() * TIE_BREAK;
             if (cost < bestCost) {
-                best = upstream;
+                best = pool.get(i);
                 bestCost = cost;
             }
         }
+        if (best != null) {
+            prefixes.sent(request.prefixKey(), best.id());
+        }
         return Optional.ofNullable(best);
     }
 
-    private double cost(Upstream upstream) {
-        double cost = upstream.inFlight();
-        if (!upstream.info().region().equals(region)) {
-            cost += OTHER_REGION_COST;
-        } else if (!upstream.info().zone().equals(zone)) {
-            cost += OTHER_ZONE_COST;
+    private double cost(Upstream upstream, CallRequest request, int draw) {
+        boolean held = prefixes.holds(request.prefixKey(), upstream.id());
+        return settings.routingPolicy()
+                .cost(new RoutingPolicy.Candidate(
+                        upstream, request.prefixKey(), held, request.promptTokens(), distance(upstream), draw));
+    }
+
+    private double distance(Upstream upstream) {
+        if (!upstream.info().region().equals(settings.region())) {
+            return OTHER_REGION_MILLIS;
         }
-        return cost;
+        return upstream.info().zone().equals(settings.zone()) ? 0 : OTHER_ZONE_MILLIS;
     }
 }
--- /dev/null
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/RoutingPolicy.java
@@ -0,0 +1,71 @@
+package org.lovagethread.core.upstream;
+
+/** Lists the ways to rank the upstreams that could take an attempt; the lowest cost is chosen. */
+public enum RoutingPolicy {
+    /** Ranks by the predicted time to the first token. */
+    PREDICTED {
+        @Override
+        double cost(Candidate candidate) {
+            Upstream upstream = candidate.upstream();
+            double prefill = candidate.prefixHeld() ? 0 : candidate.promptTokens() * MILLIS_PER_PROMPT_TOKEN;
+            double backlog = upstream.pendingPromptTokens() * MILLIS_PER_PROMPT_TOKEN;
+            double contention = (upstream.inFlight() + upstream.peersInFlight()) * MILLIS_PER_STREAM;
+            return prefill + backlog + contention + candidate.distanceMillis();
+        }
+    },
+    /** Ranks by the number of attempts in flight, this node's own and those that its peers reported. */
+    LEAST_IN_FLIGHT {
+        @Override
+        double cost(Candidate candidate) {
+            return candidate.upstream().inFlight() + candidate.upstream().peersInFlight();
+        }
+    },
+    /** Ranks by a hash of the prompt prefix, so that the same prefix meets the same upstream. */
+    PREFIX_HASH {
+        @Override
+        double cost(Candidate candidate) {
+            return (candidate.prefixKey() + candidate.upstream().id()).hashCode() & Integer.MAX_VALUE;
+        }
+    },
+    /** Takes the upstream that this node used the longest time ago. */
+    ROUND_ROBIN {
+        @Override
+        double cost(Candidate candidate) {
+            return candidate.upstream().lastStart();
+        }
+    },
+    /** Takes the one with fewer attempts in flight of two that are drawn at random. */
+    TWO_CHOICES {
+        @Override
+        double cost(Candidate candidate) {
+            boolean drawn = candidate.draw() < 2;
+            double load = candidate.upstream().inFlight() + candidate.upstream().peersInFlight();
+            return drawn ? load : load + NOT_DRAWN;
+        }
+    };
+
+    private static final double MILLIS_PER_PROMPT_TOKEN = 0.1;
+    private static final double MILLIS_PER_STREAM = 6.0;
+    private static final double NOT_DRAWN = 1e9;
+
+    /**
+     * One upstream that could take an attempt.
+     *
+     * @param upstream the upstream
+     * @param prefixKey the digest of the prompt prefix; empty for plain calls
+     * @param prefixHeld whether the upstream probably holds the prefix in its cache
+     * @param promptTokens the length of the prompt
+     * @param distanceMillis the cost of the way to the upstream, in milliseconds
+     * @param draw the position in a random order of the candidates, from 0
+     */
+    record Candidate(
+            Upstream upstream,
+            String prefixKey,
+            boolean prefixHeld,
+            int promptTokens,
+            double distanceMillis,
+            int draw) {}
+
+    /** Returns the cost of a candidate. */
+    abstract double cost(Candidate candidate);
+}
--- a/lovagethread-core/src/main/java/org/lovagethread/core/upstream/Upstream.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/Upstream.java
@@ -7,6 +7,9 @@
 
     private UpstreamInfo info;
     private int inFlight;
+    private long lastStart;
+    private int peersInFlight;
+    private int pendingPromptTokens;
     private int failuresInRow;
     private long avoidUntilMillis;
 
@@ -51,18 +54,55 @@
         return info;
     }
 
+    /**
+     * Returns the number of this node's last attempt there, in the order of all its attempts.
+     *
+     * @return the number; zero if there was none
+     */
+    public long lastStart() {
+        return lastStart;
+    }
+
+    /**
+     * Returns the number of attempts that the peers reported to have in flight there.
+     *
+     * @return the number of attempts
+     */
+    public int peersInFlight() {
+        return peersInFlight;
+    }
+
+    /**
+     * Returns the prompt tokens of this node's attempts there that have not given a first token.
+     *
+     * @return the number of tokens
+     */
+    public int pendingPromptTokens() {
+        return pendingPromptTokens;
+    }
+
     void ended() {
         inFlight--;
     }
 
+    void prefilled(int tokens) {
+        pendingPromptTokens -= tokens;
+    }
+
+    void reported(int attempts) {
+        peersInFlight = attempts;
+    }
+
     void failed(long nowMillis) {
         long avoidance = FIRST_AVOIDANCE_MILLIS << Math.min(failuresInRow, 10);
         failuresInRow++;
         avoidUntilMillis = nowMillis + Math.min(avoidance, LONGEST_AVOIDANCE_MILLIS);
     }
 
-    void started() {
+    void started(int promptTokens, long number) {
         inFlight++;
+        pendingPromptTokens += promptTokens;
+        lastStart = number;
     }
 
     void succeeded() {
--- a/lovagethread-core/src/main/java/org/lovagethread/core/upstream/UpstreamTable.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/UpstreamTable.java
@@ -25,6 +25,7 @@
 
     private final TreeMap<String, Upstream> upstreams = new TreeMap<>();
     private final TreeMap<String, Long> leaving = new TreeMap<>();
+    private long starts;
 
     /**
      * Returns the upstreams that may take a new attempt for a service.
@@ -129,13 +130,53 @@
         return known == null;
     }
 
+    /**
+     * Returns the attempts that this node has in flight, for its peers.
+     *
+     * @return the upstreams with attempts in flight, in the order of the identifiers
+     */
+    public List<UpstreamLoad> loads() {
+        List<UpstreamLoad> loads = new ArrayList<>();
+        for (Upstream upstream : upstreams.values()) {
+            if (upstream.inFlight() > 0) {
+                loads.add(new UpstreamLoad(upstream.id(), upstream.inFlight()));
+            }
+        }
+        return loads;
+    }
+
+    /**
+     * Records that an attempt has given its first token, or has ended without one.
+     *
+     * @param id the identifier of the upstream
+     * @param promptTokens the prompt tokens of the attempt
+     */
+    public void prefilled(String id, int promptTokens) {
+        find(id).ifPresent(upstream -> upstream.prefilled(promptTokens));
+    }
+
+    /**
+     * Replaces what the peers reported to have in flight.
+     *
+     * @param reports the reports of all peers that are alive
+     */
+    public void reported(List<UpstreamLoad> reports) {
+        upstreams.values().forEach(upstream -> upstream.reported(0));
+        for (UpstreamLoad report : reports) {
+            find(report.upstream())
+                    .ifPresent(upstream -> upstream.reported(upstream.peersInFlight() + report.inFlight()));
+        }
+    }
+
     /**
      * Records the start of an attempt.
      *
      * @param id the identifier of the upstream
+     * @param promptTokens the prompt tokens of the attempt
      */
-    public void started(String id) {
-        find(id).ifPresent(Upstream::started);
+    public void started(String id, int promptTokens) {
+        starts++;
+        find(id).ifPresent(upstream -> upstream.started(promptTokens, starts));
     }
 
     /**
--- a/lovagethread-wire/src/main/java/org/lovagethread/wire/PeerCodec.java
+++ b/lovagethread-wire/src/main/java/org/lovagethread/wire/PeerCodec.java
@@ -5,6 +5,7 @@
 import org.lovagethread.core.call.CallRequest;
 import org.lovagethread.core.member.LeavingUpstream;
 import org.lovagethread.core.member.PeerState;
+import org.lovagethread.core.upstream.UpstreamLoad;
 import org.lovagethread.wire.generated.Frame;
 
 /** Converts between {@link PeerMessage} and protobuf frames. */
@@ -108,6 +109,9 @@
                         .setZone(state.zone())
                         .setStopping(state.stopping())
                         .setRevision(state.revision());
+        for (UpstreamLoad load : state.loads()) {
+            builder.addLoadsBuilder().setUpstream(load.upstream()).setInFlight(load.inFlight());
+        }
         for (LeavingUpstream mark : state.leavingUpstreams()) {
             builder.addLeavingUpstreamsBuilder().setUpstream(mark.upstream()).setDeadlineMillis(mark.deadlineMillis());
         }
@@ -124,6 +128,9 @@
                 proto.getZone(),
                 proto.getStopping(),
                 proto.getRevision(),
+                proto.getLoadsList().stream()
+                        .map(load -> new UpstreamLoad(load.getUpstream(), load.getInFlight()))
+                        .toList(),
                 proto.getLeavingUpstreamsList().stream()
                         .map(mark -> new LeavingUpstream(mark.getUpstream(), mark.getDeadlineMillis()))
                         .toList());
--- a/lovagethread-wire/src/test/java/org/lovagethread/wire/PeerCodecTest.java
+++ b/lovagethread-wire/src/test/java/org/lovagethread/wire/PeerCodecTest.java
@@ -13,14 +13,24 @@
 import org.lovagethread.core.call.CallRequest;
 import org.lovagethread.core.member.LeavingUpstream;
 import org.lovagethread.core.member.PeerState;
+import org.lovagethread.core.upstream.UpstreamLoad;
 import org.lovagethread.wire.generated.Frame;
 
 /** Tests {@link PeerCodec}. */
 class PeerCodecTest {
 
     static Stream<PeerMessage> messages() {
-        PeerState state =
-                new PeerState("node-1", 5, 6, "h:1", "h:2", "zone-a", true, 7, List.of(new LeavingUpstream("u", 99)));
+        PeerState state = new PeerState(
+                "node-1",
+                5,
+                6,
+                "h:1",
+                "h:2",
+                "zone-a",
+                true,
+                7,
+                List.of(new UpstreamLoad("u", 2)),
+                List.of(new LeavingUpstream("u", 99)));
         CallRequest request = CallRequest.builder(0, CallKind.GENERATE)
                 .requestId("r")
                 .customer("c")
