Give each prompt prefix a home engine by rendezvous hash

Change: the predicted cost treats the engine to which a prefix belongs by rendezvous hash as likely to hold it, so nodes agree without messages; load still moves a call elsewhere.

--- a/lovagethread-core/src/main/java/org/lovagethread/core/member/MemberTable.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/member/MemberTable.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.lovagethread.core.CoreSettings;
+import org.lovagethread.core.Rendezvous;
 import org.lovagethread.core.status.NodeStatus;
 import org.lovagethread.core.upstream.UpstreamLoad;
 
@@ -72,11 +73,11 @@
         String key = service + '\n' + customer + '\n' + session;
         List<Choice> choices = new ArrayList<>();
         if (!selfStopping) {
-            choices.add(new Choice(settings.address(), rank(key, settings.node())));
+            choices.add(new Choice(settings.address(), Rendezvous.rank(key, settings.node())));
         }
         for (Member member : members.values()) {
             if (!member.state.stopping() && member.status(nowMillis) == MemberStatus.ALIVE) {
-                choices.add(new Choice(member.state.address(), rank(key, member.state.node())));
+                choices.add(new Choice(member.state.address(), Rendezvous.rank(key, member.state.node())));
             }
         }
         return choices.stream()
@@ -97,7 +98,7 @@
         return members.values().stream()
                 .filter(member -> !member.state.stopping() && member.status(nowMillis) == MemberStatus.ALIVE)
                 .map(member -> member.state)
-                .sorted(Comparator.comparingLong((PeerState state) -> rank(key, state.node())))
+                .sorted(Comparator.comparingLong((PeerState state) -> Rendezvous.rank(key, state.node())))
                 .toList();
     }
 
@@ -181,15 +182,4 @@
         }
         return views;
     }
-
-    private static long rank(String key, String node) {
-        long hash = 0xcbf29ce484222325L;
-        String text = key + '\n' + node;
-        for (int i = 0; i < text.length(); i++) {
-            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
-        }
-        hash ^= hash >>> 33;
-        hash *= 0xff51afd7ed558ccdL;
-        return hash ^ (hash >>> 33);
-    }
 }
--- a/lovagethread-core/src/main/java/org/lovagethread/core/upstream/Router.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/Router.java
@@ -1,9 +1,11 @@
 package org.lovagethread.core.upstream;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.lovagethread.core.CoreSettings;
+import org.lovagethread.core.Rendezvous;
 import org.lovagethread.core.call.CallRequest;
 
 /** Chooses the upstream for an attempt. */
@@ -44,12 +46,13 @@
                 .filter(upstream -> !upstream.avoided(nowMillis))
                 .toList();
         List<Upstream> pool = healthy.isEmpty() ? candidates : healthy;
+        String home = home(pool, request.prefixKey());
         int shift = pool.isEmpty() ? 0 : random.nextInt(pool.size());
         Upstream best = null;
         double bestCost = Double.MAX_VALUE;
         for (int i = 0; i < pool.size(); i++) {
             int draw = (i + shift) % pool.size();
-            double cost = cost(pool.get(i), request, draw) + random.nextDouble() * TIE_BREAK;
+            double cost = cost(pool.get(i), request, home, draw) + random.nextDouble() * TIE_BREAK;
             if (cost < bestCost) {
                 best = pool.get(i);
                 bestCost = cost;
@@ -61,11 +64,25 @@
         return Optional.ofNullable(best);
     }
 
-    private double cost(Upstream upstream, CallRequest request, int draw) {
+    private double cost(Upstream upstream, CallRequest request, String home, int draw) {
         boolean held = prefixes.holds(request.prefixKey(), upstream.id());
         return settings.routingPolicy()
                 .cost(new RoutingPolicy.Candidate(
-                        upstream, request.prefixKey(), held, request.promptTokens(), distance(upstream), draw));
+                        upstream,
+                        request.prefixKey(),
+                        held,
+                        upstream.id().equals(home),
+                        request.promptTokens(),
+                        distance(upstream),
+                        draw));
+    }
+
+    /** Returns the upstream to which a prefix belongs by rendezvous hash; all nodes with the same list agree. */
+    private static String home(List<Upstream> pool, String prefixKey) {
+        return pool.stream()
+                .map(Upstream::id)
+                .min(Comparator.comparingLong(id -> Rendezvous.rank(prefixKey, id)))
+                .orElse("");
     }
 
     private double distance(Upstream upstream) {
--- a/lovagethread-core/src/main/java/org/lovagethread/core/upstream/RoutingPolicy.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/RoutingPolicy.java
@@ -7,7 +7,7 @@
         @Override
         double cost(Candidate candidate) {
             Upstream upstream = candidate.upstream();
-            double prefill = candidate.prefixHeld() ? 0 : candidate.promptTokens() * MILLIS_PER_PROMPT_TOKEN;
+            double prefill = candidate.promptTokens() * MILLIS_PER_PROMPT_TOKEN * candidate.uncachedShare();
             double backlog = upstream.pendingPromptTokens() * MILLIS_PER_PROMPT_TOKEN;
             double contention = (upstream.inFlight() + upstream.peersInFlight()) * MILLIS_PER_STREAM;
             return prefill + backlog + contention + candidate.distanceMillis();
@@ -46,6 +46,8 @@
 
     private static final double MILLIS_PER_PROMPT_TOKEN = 0.1;
     private static final double MILLIS_PER_STREAM = 6.0;
+    private static final double HELD_ELSEWHERE_SHARE = 0.1;
+    private static final double UNKNOWN_AT_HOME_SHARE = 0.3;
     private static final double NOT_DRAWN = 1e9;
 
     /**
@@ -54,6 +56,7 @@
      * @param upstream the upstream
      * @param prefixKey the digest of the prompt prefix; empty for plain calls
      * @param prefixHeld whether the upstream probably holds the prefix in its cache
+     * @param home whether the prefix belongs to the upstream by hash, so that all nodes send it there
      * @param promptTokens the length of the prompt
      * @param distanceMillis the cost of the way to the upstream, in milliseconds
      * @param draw the position in a random order of the candidates, from 0
@@ -62,9 +65,19 @@
             Upstream upstream,
             String prefixKey,
             boolean prefixHeld,
+            boolean home,
             int promptTokens,
             double distanceMillis,
-            int draw) {}
+            int draw) {
+
+        /** Estimates the share of the prompt that the upstream has to process. */
+        double uncachedShare() {
+            if (prefixHeld) {
+                return home ? 0 : HELD_ELSEWHERE_SHARE;
+            }
+            return home ? UNKNOWN_AT_HOME_SHARE : 1;
+        }
+    }
 
     /** Returns the cost of a candidate. */
     abstract double cost(Candidate candidate);
