--- a/lovagethread-bench/src/main/java/org/lovagethread/bench/PolicyBench.java
+++ b/lovagethread-bench/src/main/java/org/lovagethread/bench/PolicyBench.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.ToDoubleFunction;
+import org.lovagethread.core.call.ReclaimPolicy;
 import org.lovagethread.core.upstream.RoutingPolicy;
 
 /** Compares the routing policies over both workloads, with a wave of reclaims in each run. */
@@ -20,6 +21,14 @@
                 report(workload, policy);
             }
         }
+        System.out.printf(
+                "%n%-12s %-16s %10s %9s %14s %16s%n",
+                "WORKLOAD", "RECLAIM", "IN TARGET", "P95 MS", "MOVED TOKENS", "EXPORTED TOKENS");
+        for (Workload workload : Workload.values()) {
+            for (ReclaimPolicy policy : ReclaimPolicy.values()) {
+                reportReclaims(workload, policy);
+            }
+        }
         System.out.println("seeds 1, 2, 3; each figure is the mean of the three runs");
     }
 
@@ -27,10 +36,25 @@
         return outcomes.stream().mapToDouble(figure).average().orElse(0);
     }
 
+    private static void reportReclaims(Workload workload, ReclaimPolicy policy) {
+        List<PolicyRun.Outcome> outcomes = new ArrayList<>();
+        for (long seed : SEEDS) {
+            outcomes.add(new PolicyRun(workload, RoutingPolicy.PREDICTED, policy, seed).run());
+        }
+        System.out.printf(
+                "%-12s %-16s %9.1f%% %9.0f %14.0f %16.0f%n",
+                workload.name().toLowerCase(java.util.Locale.ROOT),
+                policy.name().toLowerCase(java.util.Locale.ROOT),
+                100 * mean(outcomes, PolicyRun.Outcome::inTarget),
+                mean(outcomes, PolicyRun.Outcome::p95Millis),
+                mean(outcomes, PolicyRun.Outcome::movedTokens),
+                mean(outcomes, PolicyRun.Outcome::exportedTokens));
+    }
+
     private static void report(Workload workload, RoutingPolicy policy) {
         List<PolicyRun.Outcome> outcomes = new ArrayList<>();
         for (long seed : SEEDS) {
-            outcomes.add(new PolicyRun(workload, policy, seed).run());
+            outcomes.add(new PolicyRun(workload, policy, ReclaimPolicy.CHOOSE, seed).run());
         }
         System.out.printf(
                 "%-12s %-16s %7.0f %9.1f%% %9.0f %9.1f%% %11.1f%% %8.1f%n",
--- a/lovagethread-bench/src/main/java/org/lovagethread/bench/PolicyRun.java
+++ b/lovagethread-bench/src/main/java/org/lovagethread/bench/PolicyRun.java
@@ -16,6 +16,7 @@
 import org.lovagethread.core.call.AttemptOutcome;
 import org.lovagethread.core.call.CallKind;
 import org.lovagethread.core.call.CallRequest;
+import org.lovagethread.core.call.ReclaimPolicy;
 import org.lovagethread.core.command.Command;
 import org.lovagethread.core.config.Configuration;
 import org.lovagethread.core.config.Customer;
@@ -46,6 +47,8 @@
     private long computed;
     private long prompted;
     private long recomputed;
+    private long exportedTokens;
+    private long movedTokens;
     private long refused;
     private long calls;
     private double now = 1_000_000;
@@ -69,6 +72,8 @@
      * @param p95Millis the 95th percentile of the time to the first token
      * @param computedShare the share of prompt tokens that engines had to process
      * @param recomputedShare the share of prompt and resumed tokens that were processed again
+     * @param movedTokens the tokens that were processed again since streams were moved
+     * @param exportedTokens the tokens whose KV cache was carried between engines
      * @param refused the number of calls refused
      */
     record Outcome(
@@ -77,9 +82,11 @@
             double p95Millis,
             double computedShare,
             double recomputedShare,
+            long movedTokens,
+            long exportedTokens,
             long refused) {}
 
-    PolicyRun(Workload workload, RoutingPolicy policy, long seed) {
+    PolicyRun(Workload workload, RoutingPolicy policy, ReclaimPolicy reclaims, long seed) {
         this.workload = workload;
         this.random = new SplittableRandom(seed);
         for (int i = 0; i < NODES; i++) {
@@ -89,6 +96,7 @@
                     .region("r")
                     .zone(ZONES[i % ZONES.length])
                     .routingPolicy(policy)
+                    .reclaimPolicy(reclaims)
                     .seed(seed + i)
                     .build()));
         }
@@ -154,6 +162,7 @@
         boolean imported = start.cacheSource().isPresent();
         int resumed = imported ? 0 : stream.chunks;
         Workload.Draw draw = stream.draw;
+        exportedTokens += imported ? draw.promptTokens() + stream.chunks : 0;
         EngineModel.Service service = imported
                 ? engine.begin(now, draw.prefix(), draw.promptTokens(), draw.promptTokens())
                 : engine.begin(now, draw.prefix(), draw.prefixTokens(), draw.promptTokens() + resumed);
@@ -167,6 +176,7 @@
         boolean prefixComputed = service.computedTokens() > draw.promptTokens() - draw.prefixTokens() + resumed;
         if (stream.answered) {
             recomputed += service.computedTokens();
+            movedTokens += service.computedTokens();
         } else if (prefixComputed && !computedPrefixes.add(draw.prefix())) {
             recomputed += draw.prefixTokens();
         }
@@ -241,6 +251,8 @@
                 sorted.get((int) (sorted.size() * 0.95)),
                 (double) computed / prompted,
                 (double) recomputed / computed,
+                movedTokens,
+                exportedTokens,
                 refused);
     }
 
--- a/lovagethread-core/src/main/java/org/lovagethread/core/CoreSettings.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/CoreSettings.java
@@ -1,6 +1,7 @@
 package org.lovagethread.core;
 
 import java.util.Objects;
+import org.lovagethread.core.call.ReclaimPolicy;
 import org.lovagethread.core.upstream.RoutingPolicy;
 
 /** Holds the settings of one decision core. */
@@ -10,6 +11,7 @@
     private final long incarnation;
     private final String node;
     private final String peerAddress;
+    private final ReclaimPolicy reclaimPolicy;
     private final String region;
     private final RoutingPolicy routingPolicy;
     private final long seed;
@@ -22,6 +24,7 @@
         incarnation = builder.incarnation;
         node = Checks.notBlank(builder.node, "node");
         peerAddress = Objects.requireNonNull(builder.peerAddress, "peer address");
+        reclaimPolicy = Objects.requireNonNull(builder.reclaimPolicy, "reclaim policy");
         region = Objects.requireNonNull(builder.region, "region");
         routingPolicy = Objects.requireNonNull(builder.routingPolicy, "routing policy");
         seed = builder.seed;
@@ -84,6 +87,15 @@
         return peerAddress;
     }
 
+    /**
+     * Returns the way to treat streams whose upstreams are leaving.
+     *
+     * @return the policy, never null
+     */
+    public ReclaimPolicy reclaimPolicy() {
+        return reclaimPolicy;
+    }
+
     /**
      * Returns the region of the node.
      *
@@ -136,6 +148,7 @@
         private long addressLifetimeMillis = 5_000;
         private long incarnation = 1;
         private String peerAddress = "";
+        private ReclaimPolicy reclaimPolicy = ReclaimPolicy.CHOOSE;
         private String region = "";
         private RoutingPolicy routingPolicy = RoutingPolicy.PREDICTED;
         private long seed;
@@ -200,6 +213,17 @@
             return this;
         }
 
+        /**
+         * Sets the way to treat streams whose upstreams are leaving.
+         *
+         * @param value the policy
+         * @return this builder
+         */
+        public Builder reclaimPolicy(ReclaimPolicy value) {
+            reclaimPolicy = value;
+            return this;
+        }
+
         /**
          * Sets the region.
          *
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/Calls.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/Calls.java
@@ -55,7 +55,7 @@
         this.out = out;
         admission = new Admission(limits);
         dispatcher = new Dispatcher(configuration, out, router, table, upstreams);
-        reclaims = new ReclaimPlanner(dispatcher, table);
+        reclaims = new ReclaimPlanner(settings.reclaimPolicy(), dispatcher, table);
         streams = new StreamFlow(budget, dispatcher, out, table);
         handOvers = new HandOverFlow(dispatcher, members, out, streams, table);
         submits = new SubmitFlow(settings, dispatcher, out, table, ownerGone);
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/ReclaimPlanner.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/ReclaimPlanner.java
@@ -17,9 +17,11 @@
     static final long LEAST_EXPORT_MILLIS = 1_000;
 
     private final Dispatcher dispatcher;
+    private final ReclaimPolicy policy;
     private final CallTable table;
 
-    ReclaimPlanner(Dispatcher dispatcher, CallTable table) {
+    ReclaimPlanner(ReclaimPolicy policy, Dispatcher dispatcher, CallTable table) {
+        this.policy = policy;
         this.dispatcher = dispatcher;
         this.table = table;
     }
@@ -55,12 +57,14 @@
     private void plan(Call call, Attempt attempt, long deadlineMillis, long nowMillis) {
         boolean movable = call.request.kind() == CallKind.GENERATE && call.attempts.size() == 1;
         boolean endsInTime = estimatedEndMillis(call, attempt, nowMillis) + SAFETY_MARGIN_MILLIS <= deadlineMillis;
-        if (!movable || endsInTime) {
+        boolean exportable = attempt.delivering() && nowMillis + LEAST_EXPORT_MILLIS <= deadlineMillis;
+        ReclaimPolicy.Move move = movable ? policy.decide(endsInTime, exportable) : ReclaimPolicy.Move.STAY;
+        if (move == ReclaimPolicy.Move.STAY) {
             dispatcher.note(call, DecisionKind.FINISHING_IN_PLACE, attempt.upstream);
             return;
         }
-        boolean exportable = attempt.delivering() && nowMillis + LEAST_EXPORT_MILLIS <= deadlineMillis;
-        Optional<String> cacheSource = exportable ? Optional.of(attempt.address) : Optional.empty();
+        boolean export = move == ReclaimPolicy.Move.EXPORT;
+        Optional<String> cacheSource = export ? Optional.of(attempt.address) : Optional.empty();
         Optional<Attempt> moved = dispatcher.start(call, cacheSource, nowMillis);
         if (moved.isPresent()) {
             call.attemptCount--;
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/InstanceDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/platform/InstanceDuty.java
@@ -10,7 +10,7 @@
 
 /** Reads the instance list again and again, and tells the core about changes. */
 public final class InstanceDuty implements Duty {
-    private static final long PERIOD_MILLIS = 500;
+    private static final long PERIOD_MILLIS = 1_000;
 
     private final InstanceClient client;
     private final Consumer<Event> events;
