Make the lease test see a takeover that comes too early

Cause: the mutation "lease is taken at once" still passed all 82 core tests: the test's loop read the commands of each tick and dropped the writes among them.

Change: the loop keeps every write. The check is the same and its time is the whole lease plus the longest order, no longer one step less.

Before, with the mutation: 0 failures. After: waitsForTheWholeLeaseAndTheLongestOrder fails with it, and 7 of 7 pass without it.

--- a/lovagethread-core/src/test/java/org/lovagethread/core/lease/LeaseKeeperTest.java
+++ b/lovagethread-core/src/test/java/org/lovagethread/core/lease/LeaseKeeperTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
@@ -94,43 +95,35 @@
 
     @Nested
     class TakingOver {
-        private List<Command> watch(long millis) {
+        /** Shows the keeper another's unchanged lease for a while and returns what it wrote. */
+        private List<Command.WriteLease> watch(long millis) {
+            List<Command.WriteLease> writes = new ArrayList<>();
             long until = now + millis;
             while (now < until) {
                 for (Command command : tick(STEP_MILLIS)) {
                     if (command instanceof Command.ReadLease read) {
                         reply(read.operationId(), StoreStatus.FOUND, 7, OTHER);
+                    } else if (command instanceof Command.WriteLease write) {
+                        writes.add(write);
                     }
                 }
             }
-            return out.drain();
+            return writes;
         }
 
         @Test
         void waitsForTheWholeLeaseAndTheLongestOrder() {
-            assertThat(watch(LeaseKeeper.LEASE_MILLIS + LeaseKeeper.ORDER_LIFE_MILLIS - STEP_MILLIS))
+            assertThat(watch(LeaseKeeper.LEASE_MILLIS + LeaseKeeper.ORDER_LIFE_MILLIS))
                     .isEmpty();
         }
 
         @Test
         void raisesTheFencingNumber() {
             long patience = LeaseKeeper.LEASE_MILLIS + LeaseKeeper.ORDER_LIFE_MILLIS + 2 * LeaseKeeper.RENEW_MILLIS;
-            long until = now + patience;
-            while (now < until) {
-                for (Command command : tick(STEP_MILLIS)) {
-                    if (command instanceof Command.ReadLease read) {
-                        reply(read.operationId(), StoreStatus.FOUND, 7, OTHER);
-                    }
-                }
-                List<Command> writes = out.drain();
-                if (!writes.isEmpty()) {
-                    Command.WriteLease write = (Command.WriteLease) writes.get(0);
-                    assertThat(write.expectedVersion()).isEqualTo(7);
-                    assertThat(write.lease().fence()).isEqualTo(OTHER.fence() + 1);
-                    return;
-                }
-            }
-            assertThat(patience).as("time without a takeover").isZero();
+            List<Command.WriteLease> writes = watch(patience);
+            assertThat(writes).isNotEmpty();
+            assertThat(writes.get(0).expectedVersion()).isEqualTo(7);
+            assertThat(writes.get(0).lease().fence()).isEqualTo(OTHER.fence() + 1);
         }
     }
 }
