--- a/lovagethread-bench/src/main/java/org/lovagethread/bench/PolicyBench.java
+++ b/lovagethread-bench/src/main/java/org/lovagethread/bench/PolicyBench.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.ToDoubleFunction;
 import org.lovagethread.core.call.ReclaimPolicy;
 import org.lovagethread.core.upstream.RoutingPolicy;
@@ -43,8 +44,8 @@
         }
         System.out.printf(
                 "%-12s %-16s %9.1f%% %9.0f %14.0f %16.0f%n",
-                workload.name().toLowerCase(java.util.Locale.ROOT),
-                policy.name().toLowerCase(java.util.Locale.ROOT),
+                workload.name().toLowerCase(Locale.ROOT),
+                policy.name().toLowerCase(Locale.ROOT),
                 100 * mean(outcomes, PolicyRun.Outcome::inTarget),
                 mean(outcomes, PolicyRun.Outcome::p95Millis),
                 mean(outcomes, PolicyRun.Outcome::movedTokens),
@@ -58,8 +59,8 @@
         }
         System.out.printf(
                 "%-12s %-16s %7.0f %9.1f%% %9.0f %9.1f%% %11.1f%% %8.1f%n",
-                workload.name().toLowerCase(java.util.Locale.ROOT),
-                policy.name().toLowerCase(java.util.Locale.ROOT),
+                workload.name().toLowerCase(Locale.ROOT),
+                policy.name().toLowerCase(Locale.ROOT),
                 mean(outcomes, PolicyRun.Outcome::calls),
                 100 * mean(outcomes, PolicyRun.Outcome::inTarget),
                 mean(outcomes, PolicyRun.Outcome::p95Millis),
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/ConfigurationCommands.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/ConfigurationCommands.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
+import org.lovagethread.platform.Digests;
 import org.lovagethread.platform.objects.ConfigurationStore;
 import org.lovagethread.platform.objects.ConfigurationStore.ApplyResult;
 import org.lovagethread.platform.objects.ConfigurationStore.StoredRoot;
@@ -103,7 +104,7 @@
             case UNKNOWN -> throw new CliException(
                     ExitCode.UNKNOWN,
                     "the Object API gave no answer; run \"lovagethread history\" and look for digest "
-                            + org.lovagethread.platform.Digests.sha256(bytes).substring(0, 12));
+                            + Digests.sha256(bytes).substring(0, 12));
             default -> throw new IllegalStateException("unknown status " + result.status());
         }
         if (!invocation.has("no-wait")) {
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/NodeCommands.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/NodeCommands.java
@@ -2,13 +2,17 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.lovagethread.platform.Json;
 import org.lovagethread.platform.objects.NodeEntry;
 
@@ -60,9 +64,7 @@
         for (NodeEntry node : client.nodes()) {
             Optional<String> text = client.get(node, "explain/" + request);
             if (text.isPresent()) {
-                parse(text.get())
-                        .forEach(decision -> found.add(
-                                ((com.fasterxml.jackson.databind.node.ObjectNode) decision).put("node", node.node())));
+                parse(text.get()).forEach(decision -> found.add(((ObjectNode) decision).put("node", node.node())));
             }
         }
         if (invocation.json()) {
@@ -75,7 +77,7 @@
         for (JsonNode decision : found) {
             invocation.print(String.format(
                     "%s  %-10s %-20s %s",
-                    java.time.Instant.ofEpochMilli(decision.path("atMillis").asLong()),
+                    Instant.ofEpochMilli(decision.path("atMillis").asLong()),
                     decision.path("node").asText(),
                     decision.path("decision").asText(),
                     decision.path("detail").asText()));
@@ -125,7 +127,7 @@
     private static void printUpstreams(Invocation invocation, ArrayNode all) {
         invocation.print("");
         invocation.print(String.format("%-16s %-14s %-16s %s", "UPSTREAM", "SERVICE", "ZONE", "STATE"));
-        java.util.Map<String, String> lines = new java.util.TreeMap<>();
+        Map<String, String> lines = new TreeMap<>();
         for (JsonNode status : all) {
             for (JsonNode upstream : status.path("upstreams")) {
                 String id = upstream.path("id").asText();
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/ReplayCommand.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/ReplayCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -80,7 +81,7 @@
             found = Json.mapper().convertValue(outcomes, Map.class);
         } catch (JsonProcessingException e) {
             throw new CliException(ExitCode.USAGE, file + ": the file is not JSON");
-        } catch (java.io.IOException e) {
+        } catch (IOException e) {
             throw new CliException(ExitCode.USAGE, file + ": the file cannot be read");
         }
         List<String> differences = new ArrayList<>();
--- a/lovagethread-cli/src/test/java/org/lovagethread/cli/CliMainTest.java
+++ b/lovagethread-cli/src/test/java/org/lovagethread/cli/CliMainTest.java
@@ -6,7 +6,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
+import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -133,12 +135,12 @@
         @Test
         void isRefusedDuringAnOutage() throws Exception {
             URI control = URI.create("http://127.0.0.1:" + server.port() + "/control");
-            java.net.http.HttpClient.newHttpClient()
+            HttpClient.newHttpClient()
                     .sendAsync(
                             HttpRequest.newBuilder(control)
                                     .POST(HttpRequest.BodyPublishers.ofString("{\"outage\":true}"))
                                     .build(),
-                            java.net.http.HttpResponse.BodyHandlers.discarding())
+                            HttpResponse.BodyHandlers.discarding())
                     .join();
             assertThat(apply(SHEET.toString(), "--no-wait")).isEqualTo(1);
             assertThat(err).contains("gave no answer");
--- a/lovagethread-core/src/main/java/org/lovagethread/core/call/StreamFlow.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/call/StreamFlow.java
@@ -1,6 +1,7 @@
 package org.lovagethread.core.call;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.lovagethread.core.command.Command;
 import org.lovagethread.core.command.DecisionKind;
@@ -172,7 +173,7 @@
             refuse(call, call.mayHaveRun ? call.request.kind().failure() : ErrorKind.NO_UPSTREAM, nowMillis);
             return;
         }
-        dispatcher.note(call, DecisionKind.RETRIED, outcome.name().toLowerCase(java.util.Locale.ROOT));
+        dispatcher.note(call, DecisionKind.RETRIED, outcome.name().toLowerCase(Locale.ROOT));
         call.waitDeadlineMillis = Math.min(call.request.deadlineMillis(), nowMillis + MOST_WAIT_MILLIS);
         dispatch(call, nowMillis);
     }
--- a/lovagethread-core/src/main/java/org/lovagethread/core/command/DecisionKind.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/command/DecisionKind.java
@@ -1,5 +1,7 @@
 package org.lovagethread.core.command;
 
+import java.util.Locale;
+
 /** Lists the decisions about a call that are noted for logs, metrics and explanations. */
 public enum DecisionKind {
     /** The call passed admission. */
@@ -35,6 +37,6 @@
      * @return the name in lower case with hyphens
      */
     public String label() {
-        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/lovagethread-core/src/main/java/org/lovagethread/core/config/ServiceKind.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/config/ServiceKind.java
@@ -1,5 +1,7 @@
 package org.lovagethread.core.config;
 
+import java.util.Locale;
+
 /** Distinguishes model engines from plain services. */
 public enum ServiceKind {
     /** A pool of model engines that answer with token streams. */
@@ -13,6 +15,6 @@
      * @return the name in lower case
      */
     public String label() {
-        return name().toLowerCase(java.util.Locale.ROOT);
+        return name().toLowerCase(Locale.ROOT);
     }
 }
--- a/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
@@ -1,5 +1,7 @@
 package org.lovagethread.core.error;
 
+import java.util.Locale;
+
 /**
  * Lists every kind of error that a caller can receive, with the answer that belongs to it.
  *
@@ -55,7 +57,7 @@
      * @return the name in lower case with hyphens, for example {@code "key-reused"}
      */
     public String label() {
-        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     /**
--- a/lovagethread-core/src/main/java/org/lovagethread/core/lease/Rollout.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/lease/Rollout.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lovagethread.core.command.Command;
 import org.lovagethread.core.command.Outbox;
 import org.lovagethread.core.config.Configuration;
@@ -89,7 +90,7 @@
             return;
         }
         pending.remove(service.name());
-        upstreams.candidates(service.name(), java.util.Set.of()).stream()
+        upstreams.candidates(service.name(), Set.of()).stream()
                 .map(upstream -> upstream.info())
                 .filter(info -> !info.version().isEmpty() && !info.version().equals(wanted))
                 .findFirst()
--- a/lovagethread-core/src/test/java/org/lovagethread/core/scenario/Steps.java
+++ b/lovagethread-core/src/test/java/org/lovagethread/core/scenario/Steps.java
@@ -6,6 +6,7 @@
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -391,7 +392,7 @@
         Optional<String> upstream = world.upstreams.values().stream()
                 .filter(candidate -> candidate.model() == (served.kind == CallKind.GENERATE))
                 .filter(candidate -> !candidate.startedAtMillis.isEmpty())
-                .max(java.util.Comparator.comparingLong(
+                .max(Comparator.comparingLong(
                         candidate -> candidate.startedAtMillis.get(candidate.startedAtMillis.size() - 1)))
                 .map(candidate -> candidate.info.id());
         return upstream.orElseThrow();
--- a/lovagethread-core/src/test/java/org/lovagethread/core/scenario/World.java
+++ b/lovagethread-core/src/test/java/org/lovagethread/core/scenario/World.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.lovagethread.core.CoreSettings;
+import org.lovagethread.core.call.AttemptOutcome;
 import org.lovagethread.core.call.CallKind;
 import org.lovagethread.core.call.CallRequest;
 import org.lovagethread.core.command.Command;
@@ -21,6 +22,7 @@
 import org.lovagethread.core.config.Customer;
 import org.lovagethread.core.config.Service;
 import org.lovagethread.core.config.ServiceKind;
+import org.lovagethread.core.error.RunState;
 import org.lovagethread.core.event.Event;
 import org.lovagethread.core.lease.OrderOutcome;
 import org.lovagethread.core.store.StoreStatus;
@@ -396,8 +398,8 @@
         new FakeAttempt(this, node, start, upstream, stream).begin();
     }
 
-    private static org.lovagethread.core.call.AttemptOutcome notSent() {
-        return org.lovagethread.core.call.AttemptOutcome.NOT_SENT;
+    private static AttemptOutcome notSent() {
+        return AttemptOutcome.NOT_SENT;
     }
 
     void chunkArrived(FakeNode node, FakeNode.Stream stream, long attemptId, int number, String text) {
@@ -493,7 +495,7 @@
             }
             boolean falselyNotRun = caller.kind == CallKind.SUBMIT
                     && caller.refusal
-                            .filter(kind -> kind.runState() == org.lovagethread.core.error.RunState.NOT_RUN)
+                            .filter(kind -> kind.runState() == RunState.NOT_RUN)
                             .isPresent()
                     && upstreams.values().stream()
                             .anyMatch(upstream -> upstream.ledger.contains(caller.key + " by " + caller.name));
--- a/lovagethread-node/src/main/java/org/lovagethread/node/Node.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/Node.java
@@ -18,8 +18,8 @@
 import org.lovagethread.node.duty.NodeClock;
 import org.lovagethread.node.duty.Ring;
 import org.lovagethread.node.duty.Supervisor;
-import org.lovagethread.node.peer.HandOverDesk;
 import org.lovagethread.node.peer.PeerDuty;
+import org.lovagethread.node.peer.StreamTransfers;
 import org.lovagethread.node.platform.ConfigurationDuty;
 import org.lovagethread.node.platform.DirectoryDuty;
 import org.lovagethread.node.platform.InstanceDuty;
@@ -67,7 +67,7 @@
     private final NodeDirectory directory;
     private final Explanations explanations = new Explanations();
     private final NodeMetrics metrics = new NodeMetrics();
-    private final HandOverDesk handOvers;
+    private final StreamTransfers transfers;
     private final ObjectApiClient objects;
     private final PeerDuty peers;
     private final TraceRecorder recorder;
@@ -89,7 +89,7 @@
         objects = new ObjectApiClient(settings.uri(NodeKeys.OBJECT_API));
         directory = new NodeDirectory(objects, settings.text(NodeKeys.CELL));
         recorder = new TraceRecorder((int) settings.number(NodeKeys.TRACE_EVENTS));
-        handOvers = new HandOverDesk(calls, clock, events::put);
+        transfers = new StreamTransfers(calls, clock, events::put);
         peers = peerDuty();
         server = new CallerServer(
                 settings,
@@ -118,7 +118,7 @@
     public void start() throws Exception {
         startDecisions();
         server.start();
-        handOvers.useLoops(server.controller().getEventLoopGroup());
+        transfers.useLoops(server.controller().getEventLoopGroup());
         startCallers();
         peers.listen(settings.text(NodeKeys.HOST), (int) settings.number(NodeKeys.PEER_PORT));
         supervisor.child("peers").start(peers);
@@ -176,7 +176,7 @@
                 new PeerKey(settings.secret(NodeKeys.PEER_KEY_FILE)),
                 settings.addresses(NodeKeys.SEEDS),
                 sheets,
-                handOvers,
+                transfers,
                 peerCommands,
                 events::put);
     }
--- a/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallerConnection.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Objects;
+import org.lovagethread.core.error.ErrorKind;
 import ratpack.exec.Downstream;
 
 /** Joins one HTTP exchange of a caller to the call that it waits for; used on the event loop of the call. */
@@ -47,7 +48,7 @@
         if (lines != null) {
             lines.cut();
         } else if (!answered) {
-            reply(new CallerReply.Refusal(org.lovagethread.core.error.ErrorKind.DEADLINE_AFTER_SEND, 0));
+            reply(new CallerReply.Refusal(ErrorKind.DEADLINE_AFTER_SEND, 0));
         }
     }
 }
--- a/lovagethread-node/src/main/java/org/lovagethread/node/peer/PeerDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/peer/PeerDuty.java
@@ -20,7 +20,7 @@
 
     private final Ring<Command> commands;
     private final Consumer<Event> events;
-    private final HandOverDesk handOvers;
+    private final StreamTransfers transfers;
     private final List<String> seeds;
     private final String selfAddress;
     private final SheetHolder sheets;
@@ -35,7 +35,7 @@
      * @param key the secret shared by all nodes
      * @param seeds addresses of peers from the settings
      * @param sheets holds the newest sheet
-     * @param handOvers moves streams
+     * @param transfers moves streams
      * @param commands brings the messages to send
      * @param events takes the events
      */
@@ -45,13 +45,13 @@
             PeerKey key,
             List<String> seeds,
             SheetHolder sheets,
-            HandOverDesk handOvers,
+            StreamTransfers transfers,
             Ring<Command> commands,
             Consumer<Event> events) {
         this.selfAddress = selfAddress;
         this.seeds = seeds;
         this.sheets = sheets;
-        this.handOvers = handOvers;
+        this.transfers = transfers;
         this.commands = commands;
         this.events = events;
         this.transport = new PeerTransport(node, key, this);
@@ -103,25 +103,25 @@
         } else if (message instanceof PeerMessage.ConfigurationOffer offer) {
             sheets.offer(offer.revision(), offer.digest(), offer.sheet());
         } else if (message instanceof PeerMessage.HandOver offer) {
-            handOvers.adopt(offer, reply);
+            transfers.adopt(offer, reply);
         } else if (message instanceof PeerMessage.HandOverReply answer) {
-            handOvers.replied(answer.transfer(), answer.accepted());
+            transfers.replied(answer.transfer(), answer.accepted());
         }
     }
 
     @Override
     public void step() {
         Command command = commands.take(WAIT_MILLIS);
-        handOvers.expire();
+        transfers.expire();
         if (command instanceof Command.TellPeers tell) {
             PeerMessage heartbeat = new PeerMessage.Heartbeat(tell.state());
             addresses.forEach(address -> transport.send(address, heartbeat));
         } else if (command instanceof Command.RequestConfiguration request) {
             transport.send(request.peerAddress(), new PeerMessage.ConfigurationRequest(request.revision()));
         } else if (command instanceof Command.HandOverCall handOver) {
-            handOvers.offer(handOver, transport::send);
+            transfers.offer(handOver, transport::send);
         } else if (command instanceof Command.AnswerAdoption answer) {
-            handOvers.answer(answer);
+            transfers.answer(answer);
         }
     }
 }
--- a/lovagethread-node/src/main/java/org/lovagethread/node/peer/HandOverDesk.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/peer/StreamTransfers.java
@@ -16,7 +16,7 @@
 import org.lovagethread.wire.PeerMessage;
 
 /** Moves the bytes of streams between this node and its peers. */
-public final class HandOverDesk {
+public final class StreamTransfers {
     private static final long REPLY_MILLIS = 1_000;
 
     private final Map<Long, Consumer<PeerMessage>> adoptions = new ConcurrentHashMap<>();
@@ -24,17 +24,17 @@
     private final NodeClock clock;
     private final Consumer<Event> events;
     private final Map<Long, Long> replyDeadlines = new ConcurrentHashMap<>();
-    private final Map<Long, Long> transfers = new ConcurrentHashMap<>();
+    private final Map<Long, Long> peerNumbers = new ConcurrentHashMap<>();
     private EventLoopGroup loops;
 
     /**
-     * Creates a desk without transfers.
+     * Creates an object without transfers.
      *
      * @param calls the open calls
      * @param clock tells the time
      * @param events takes the events about transfers
      */
-    public HandOverDesk(CallRegistry calls, NodeClock clock, Consumer<Event> events) {
+    public StreamTransfers(CallRegistry calls, NodeClock clock, Consumer<Event> events) {
         this.calls = calls;
         this.clock = clock;
         this.events = events;
@@ -60,7 +60,7 @@
             reply.accept(new PeerMessage.HandOverReply(offer.transfer(), false));
             return;
         }
-        transfers.put(request.callId(), offer.transfer());
+        peerNumbers.put(request.callId(), offer.transfer());
         adoptions.put(request.callId(), reply);
         events.accept(new Event.CallAdopted(request, offer.lines().size()));
     }
@@ -68,7 +68,7 @@
     /** Tells the peer whether this node carries its stream on. */
     void answer(Command.AnswerAdoption answer) {
         Consumer<PeerMessage> reply = adoptions.remove(answer.callId());
-        Long transfer = transfers.remove(answer.callId());
+        Long transfer = peerNumbers.remove(answer.callId());
         if (!answer.accepted()) {
             calls.remove(answer.callId());
         }
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/OrderDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/platform/OrderDuty.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Locale;
 import java.util.function.Consumer;
 import org.lovagethread.core.command.Command;
 import org.lovagethread.core.event.Event;
@@ -50,7 +51,7 @@
             LOG.log(
                     Level.INFO,
                     "order-{0} upstream={1} version={2} fence={3}",
-                    outcome.name().toLowerCase(java.util.Locale.ROOT),
+                    outcome.name().toLowerCase(Locale.ROOT),
                     order.upstream(),
                     order.version(),
                     String.valueOf(order.fence()));
--- a/lovagethread-node/src/main/java/org/lovagethread/node/upstream/UpstreamDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/upstream/UpstreamDuty.java
@@ -1,5 +1,6 @@
 package org.lovagethread.node.upstream;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.URI;
@@ -165,7 +166,7 @@
                     .put("priority", attempt.command().priority());
             attempt.command().cacheSource().ifPresent(source -> body.put("cacheSource", source));
             return Json.mapper().writeValueAsBytes(body);
-        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+        } catch (JsonProcessingException e) {
             throw new IllegalStateException("the body was checked before", e);
         }
     }
--- a/lovagethread-node/src/test/java/org/lovagethread/node/DocumentsTest.java
+++ b/lovagethread-node/src/test/java/org/lovagethread/node/DocumentsTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.Locale;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.lovagethread.core.error.ErrorKind;
@@ -24,7 +25,7 @@
         String fallback = key.fallback().map(value -> "`" + value + "`").orElse("required");
         String range = key.most() > 0
                 ? key.least() + " to " + key.most()
-                : key.type().name().toLowerCase(java.util.Locale.ROOT);
+                : key.type().name().toLowerCase(Locale.ROOT);
         return "| `" + key.section() + "` | `" + key.name() + "` | " + fallback + " | " + range + " | "
                 + key.description() + " |";
     }
--- a/lovagethread-standins/src/main/java/org/lovagethread/standins/Exchange.java
+++ b/lovagethread-standins/src/main/java/org/lovagethread/standins/Exchange.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -29,7 +30,7 @@
 
     private final byte[] body;
     private final Channel channel;
-    private final io.netty.handler.codec.http.HttpHeaders headers;
+    private final HttpHeaders headers;
     private final String method;
     private final QueryStringDecoder uri;
 
--- a/lovagethread-standins/src/main/java/org/lovagethread/standins/InstanceList.java
+++ b/lovagethread-standins/src/main/java/org/lovagethread/standins/InstanceList.java
@@ -1,8 +1,10 @@
 package org.lovagethread.standins;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Stands in for the instance list: shows what the Cloud API showed some time ago. */
 public final class InstanceList {
@@ -32,8 +34,7 @@
      */
     public void handle(Exchange exchange) {
         switch (exchange.path()) {
-            case "/instances" -> exchange.reply(
-                    200, current().getBytes(java.nio.charset.StandardCharsets.UTF_8), Map.of());
+            case "/instances" -> exchange.reply(200, current().getBytes(StandardCharsets.UTF_8), Map.of());
             case "/control" -> {
                 lagMillis = exchange.json().path("lagMillis").asLong(lagMillis);
                 exchange.reply(200, Map.of("ok", true));
@@ -54,7 +55,7 @@
                                 .thenAccept(response -> server.group().execute(() -> add(response.body()))),
                         0,
                         POLL_MILLIS,
-                        java.util.concurrent.TimeUnit.MILLISECONDS);
+                        TimeUnit.MILLISECONDS);
     }
 
     private void add(String body) {
--- a/lovagethread-standins/src/main/java/org/lovagethread/standins/PlainService.java
+++ b/lovagethread-standins/src/main/java/org/lovagethread/standins/PlainService.java
@@ -1,8 +1,10 @@
 package org.lovagethread.standins;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -81,10 +83,7 @@
     private void run(Exchange exchange) {
         if (decline > 0) {
             decline--;
-            exchange.reply(
-                    503,
-                    "{\"error\":\"busy\"}".getBytes(java.nio.charset.StandardCharsets.UTF_8),
-                    Map.of("X-Run", "not-run"));
+            exchange.reply(503, "{\"error\":\"busy\"}".getBytes(StandardCharsets.UTF_8), Map.of("X-Run", "not-run"));
             return;
         }
         String request = exchange.header("X-Request-Id");
@@ -101,7 +100,7 @@
                     "path",
                     exchange.path(),
                     "body",
-                    new String(exchange.body(), java.nio.charset.StandardCharsets.UTF_8)));
+                    new String(exchange.body(), StandardCharsets.UTF_8)));
         }
         if (resetAfter > 0) {
             resetAfter--;
@@ -137,7 +136,7 @@
         byte[] content;
         try {
             content = Exchange.JSON.writeValueAsBytes(answer);
-        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+        } catch (JsonProcessingException e) {
             throw new IllegalStateException(e);
         }
         String identity = request;
--- a/lovagethread-wire/src/main/java/org/lovagethread/wire/PeerTransport.java
+++ b/lovagethread-wire/src/main/java/org/lovagethread/wire/PeerTransport.java
@@ -21,6 +21,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.lovagethread.wire.generated.Frame;
 
@@ -92,7 +93,7 @@
     }
 
     /** Closes connections to addresses that are no longer wanted. */
-    public void retain(java.util.Set<String> addresses) {
+    public void retain(Set<String> addresses) {
         outbound.entrySet().removeIf(entry -> {
             boolean unwanted = !addresses.contains(entry.getKey());
             if (unwanted && entry.getValue().channel != null) {
