Show ring depths; fuzz settings; build when a source is newer

Cause: lovagethread_ring_depth was declared and named for operators, and nothing set it. Quickstart ran an old build after a change of sources.

Change: the gauge is read at each scrape. Settings files take 300 random texts without an exception (seed 14). The scripts build when a source is newer.

--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -26,8 +26,10 @@
     rm -rf "$work"
 }
 
+# Builds when there is no build yet, or a source is newer than it.
 build_if_needed() {
-    if [ ! -e "$root/lovagethread-node/target/lib" ] || [ ! -e "$root/lovagethread-cli/target/lib" ]; then
+    local built="$root/lovagethread-bench/target/lovagethread-bench-0.1.0.jar"
+    if [ ! -e "$built" ] || [ -n "$(find "$root" -path '*/src/main/*' -name '*.java' -newer "$built" | head -1)" ]; then
         echo "building ..."
         (cd "$root" && mvn -B -q package -DskipTests)
     fi
--- a/lovagethread-node/src/main/java/org/lovagethread/node/Node.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/Node.java
@@ -89,6 +89,7 @@
         objects = new ObjectApiClient(settings.uri(NodeKeys.OBJECT_API));
         directory = new NodeDirectory(objects, settings.text(NodeKeys.CELL));
         recorder = new TraceRecorder((int) settings.number(NodeKeys.TRACE_EVENTS));
+        watchRings();
         transfers = new StreamTransfers(calls, clock, events::put);
         peers = peerDuty();
         server = new CallerServer(
@@ -155,6 +156,16 @@
                 .build();
     }
 
+    private void watchRings() {
+        metrics.watchRing("events", events::depth);
+        metrics.watchRing("callers", callerCommands::depth);
+        metrics.watchRing("orders", orderCommands::depth);
+        metrics.watchRing("peers", peerCommands::depth);
+        metrics.watchRing("store", storeCommands::depth);
+        metrics.watchRing("telemetry", telemetryCommands::depth);
+        metrics.watchRing("upstreams", upstreamCommands::depth);
+    }
+
     /** Waits until the callers have taken the ends of their answers. */
     private void awaitDelivery() throws InterruptedException {
         long deadlineMillis = clock.millis() + MOST_DELIVERY_MILLIS;
--- a/lovagethread-node/src/main/java/org/lovagethread/node/telemetry/NodeMetrics.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/telemetry/NodeMetrics.java
@@ -8,8 +8,11 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
 import org.lovagethread.core.call.CallRequest;
 import org.lovagethread.core.command.DecisionKind;
 import org.lovagethread.core.config.Configuration;
@@ -48,6 +51,7 @@
             .help("Entries waiting in a ring.")
             .labelNames("ring")
             .register(registry);
+    private final Map<String, IntSupplier> rings = new ConcurrentHashMap<>();
     private volatile Set<String> classes = Set.of();
     private volatile Set<String> customers = Set.of();
     private volatile Set<String> services = Set.of();
@@ -98,6 +102,7 @@
      * @return the text
      */
     public String exposition() {
+        rings.forEach((ring, depth) -> ringDepth.labelValues(ring).set(depth.getAsInt()));
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.builder().build().write(bytes, registry.scrape());
@@ -108,13 +113,13 @@
     }
 
     /**
-     * Notes the depth of a ring.
+     * Shows the depth of a ring from now on.
      *
      * @param ring the name of the ring
-     * @param depth the number of entries that wait
+     * @param depth tells the number of entries that wait
      */
-    public void ringDepth(String ring, int depth) {
-        ringDepth.labelValues(ring).set(depth);
+    public void watchRing(String ring, IntSupplier depth) {
+        rings.put(ring, depth);
     }
 
     private static String known(Set<String> names, String name) {
--- a/lovagethread-platform/src/test/java/org/lovagethread/platform/settings/SettingsReaderTest.java
+++ b/lovagethread-platform/src/test/java/org/lovagethread/platform/settings/SettingsReaderTest.java
@@ -1,12 +1,15 @@
 package org.lovagethread.platform.settings;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -81,4 +84,15 @@
                     .contains("cannot be read");
         }
     }
+
+    @Property(tries = 300, seed = "14")
+    void neverThrowsOnAnyText(@ForAll String text) throws IOException {
+        Path file = Files.createTempFile("settings", ".ini");
+        try {
+            Files.writeString(file, text.replaceAll("[\\uD800-\\uDFFF]", "?"));
+            assertThatCode(() -> SettingsReader.read(file, KEYS)).doesNotThrowAnyException();
+        } finally {
+            Files.delete(file);
+        }
+    }
 }
