--- a/lovagethread-bench/src/main/java/org/lovagethread/bench/ControlBench.java
+++ b/lovagethread-bench/src/main/java/org/lovagethread/bench/ControlBench.java
@@ -7,7 +7,7 @@
 import org.lovagethread.core.member.MemberTable;
 import org.lovagethread.core.member.PeerState;
 import org.lovagethread.core.upstream.UpstreamLoad;
-import org.lovagethread.platform.sheet.SheetParser;
+import org.lovagethread.supplier.sheet.SheetParser;
 import org.lovagethread.wire.PeerCodec;
 import org.lovagethread.wire.PeerMessage;
 
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/ConfigurationCommands.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/ConfigurationCommands.java
@@ -4,13 +4,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
-import org.lovagethread.platform.Digests;
-import org.lovagethread.platform.objects.ConfigurationStore;
-import org.lovagethread.platform.objects.ConfigurationStore.ApplyResult;
-import org.lovagethread.platform.objects.ConfigurationStore.StoredRoot;
-import org.lovagethread.platform.objects.NodeEntry;
-import org.lovagethread.platform.objects.RevisionEntry;
-import org.lovagethread.platform.sheet.Sheet;
+import org.lovagethread.supplier.Digests;
+import org.lovagethread.supplier.objects.ConfigurationStore;
+import org.lovagethread.supplier.objects.ConfigurationStore.ApplyResult;
+import org.lovagethread.supplier.objects.ConfigurationStore.StoredRoot;
+import org.lovagethread.supplier.objects.NodeEntry;
+import org.lovagethread.supplier.objects.RevisionEntry;
+import org.lovagethread.supplier.sheet.Sheet;
 
 /** Implements the commands about the configuration. */
 final class ConfigurationCommands {
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/Invocation.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/Invocation.java
@@ -9,14 +9,14 @@
 import java.time.Clock;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
-import org.lovagethread.platform.Json;
-import org.lovagethread.platform.objects.ConfigurationStore;
-import org.lovagethread.platform.objects.ObjectApiClient;
-import org.lovagethread.platform.settings.Settings;
-import org.lovagethread.platform.settings.SettingsReader;
-import org.lovagethread.platform.sheet.Sheet;
-import org.lovagethread.platform.sheet.SheetError;
-import org.lovagethread.platform.sheet.SheetParser;
+import org.lovagethread.supplier.Json;
+import org.lovagethread.supplier.objects.ConfigurationStore;
+import org.lovagethread.supplier.objects.ObjectApiClient;
+import org.lovagethread.supplier.settings.Settings;
+import org.lovagethread.supplier.settings.SettingsReader;
+import org.lovagethread.supplier.sheet.Sheet;
+import org.lovagethread.supplier.sheet.SheetError;
+import org.lovagethread.supplier.sheet.SheetParser;
 
 /** Gives a command its arguments, its settings and its output. */
 final class Invocation {
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/NodeClient.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/NodeClient.java
@@ -9,10 +9,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.lovagethread.platform.Json;
-import org.lovagethread.platform.objects.NodeDirectory;
-import org.lovagethread.platform.objects.NodeEntry;
-import org.lovagethread.platform.objects.ObjectApiClient;
+import org.lovagethread.supplier.Json;
+import org.lovagethread.supplier.objects.NodeDirectory;
+import org.lovagethread.supplier.objects.NodeEntry;
+import org.lovagethread.supplier.objects.ObjectApiClient;
 
 /** Asks the nodes of one cell over their operator interface. */
 final class NodeClient {
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/NodeCommands.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/NodeCommands.java
@@ -13,8 +13,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.lovagethread.platform.Json;
-import org.lovagethread.platform.objects.NodeEntry;
+import org.lovagethread.supplier.Json;
+import org.lovagethread.supplier.objects.NodeEntry;
 
 /** Implements the commands that ask nodes. */
 final class NodeCommands {
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/OperatorKeys.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/OperatorKeys.java
@@ -1,8 +1,8 @@
 package org.lovagethread.cli;
 
 import java.util.List;
-import org.lovagethread.platform.settings.SettingKey;
-import org.lovagethread.platform.settings.SettingType;
+import org.lovagethread.supplier.settings.SettingKey;
+import org.lovagethread.supplier.settings.SettingType;
 
 /** Lists the settings of the command line. */
 public final class OperatorKeys {
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/ReplayCommand.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/ReplayCommand.java
@@ -12,9 +12,9 @@
 import org.lovagethread.core.command.Command.NoteDecision;
 import org.lovagethread.core.command.Command.RefuseCall;
 import org.lovagethread.core.trace.TraceEntry;
-import org.lovagethread.platform.Digests;
-import org.lovagethread.platform.Json;
-import org.lovagethread.platform.trace.TraceFormat;
+import org.lovagethread.supplier.Digests;
+import org.lovagethread.supplier.Json;
+import org.lovagethread.supplier.trace.TraceFormat;
 
 /** Implements the command that replays a trace. */
 final class ReplayCommand {
--- a/lovagethread-cli/src/main/java/org/lovagethread/cli/SheetDiff.java
+++ b/lovagethread-cli/src/main/java/org/lovagethread/cli/SheetDiff.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Function;
-import org.lovagethread.platform.sheet.Sheet;
+import org.lovagethread.supplier.sheet.Sheet;
 
 /** Compares two sheets record by record. */
 final class SheetDiff {
--- a/lovagethread-cli/src/test/java/org/lovagethread/cli/ReplayCommandTest.java
+++ b/lovagethread-cli/src/test/java/org/lovagethread/cli/ReplayCommandTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.lovagethread.platform.trace.TraceFormat;
+import org.lovagethread.supplier.trace.TraceFormat;
 
 /** Replays the traces of real runs that the repository keeps. */
 class ReplayCommandTest {
--- a/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
@@ -14,12 +14,18 @@
     UNKNOWN_CUSTOMER(403, RunState.NOT_RUN, false, "The customer is not declared."),
     /** No service with this name is in the configuration in force. */
     UNKNOWN_SERVICE(404, RunState.NOT_RUN, false, "The service is not declared."),
+    /** The key belongs to no customer of the configuration in force. */
+    UNKNOWN_KEY(401, RunState.NOT_RUN, false, "The key belongs to no customer."),
+    /** No route of the configuration in force takes the request. */
+    UNKNOWN_ROUTE(404, RunState.NOT_RUN, false, "No route takes the request."),
     /** A call that is not idempotent carries no idempotency key. */
     KEY_REQUIRED(400, RunState.NOT_RUN, false, "A non-idempotent call needs an Idempotency-Key header."),
     /** The idempotency key was used before with another body. */
     KEY_REUSED(409, RunState.NOT_RUN, false, "The idempotency key belongs to a call with another body."),
     /** The body is larger than the limit. */
     BODY_TOO_LARGE(413, RunState.NOT_RUN, false, "The body exceeds the size limit."),
+    /** The head of the request is larger than the limit. */
+    HEADERS_TOO_LARGE(431, RunState.NOT_RUN, false, "The head of the request exceeds the size limit."),
     /** The customer has used up its rate. */
     RATE_LIMITED(429, RunState.NOT_RUN, true, "The customer's rate is used up."),
     /** A queue of the node is full. */
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/config/RouteTable.java
@@ -0,0 +1,53 @@
+package org.lovagethread.gateway.config;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds the route of a request by host and longest path prefix. */
+public final class RouteTable {
+    private static final Comparator<Route> LONGEST_FIRST = Comparator.comparingInt(
+                    (Route route) -> route.pathPrefix().length())
+            .reversed();
+
+    private final Map<String, List<Route>> byHost = new HashMap<>();
+
+    /**
+     * Creates a table.
+     *
+     * @param routes the routes, in any order
+     */
+    public RouteTable(List<Route> routes) {
+        for (Route route : routes) {
+            byHost.computeIfAbsent(normalized(route.host()), host -> new ArrayList<>())
+                    .add(route);
+        }
+        byHost.values().forEach(list -> list.sort(LONGEST_FIRST));
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host the host that the request names, with or without a port
+     * @param path the path, without the query
+     * @return the route with the longest prefix that begins the path, or empty if there is none
+     */
+    public Optional<Route> find(String host, String path) {
+        for (Route route : byHost.getOrDefault(normalized(host), List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String normalized(String host) {
+        int colon = host.lastIndexOf(':');
+        String name = colon >= 0 && host.indexOf(']', colon) < 0 ? host.substring(0, colon) : host;
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageLedger.java
@@ -0,0 +1,108 @@
+package org.lovagethread.gateway.duty;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+/**
+ * Counts the requests that began to run, by usage window and customer.
+ *
+ * <p>Each gateway counts its own and hears the counts of its peers; the counts of a peer that has died stay.
+ */
+public final class UsageLedger {
+    /** Number of windows for which counts are kept. */
+    private static final int KEPT_WINDOWS = 8;
+
+    private final long windowMillis;
+    private final LongSupplier trueTime;
+    private final NavigableMap<Long, Map<String, Long>> own = new TreeMap<>();
+    private final NavigableMap<Long, Map<PeerCustomer, Long>> peers = new TreeMap<>();
+
+    /**
+     * Creates a ledger.
+     *
+     * @param windowMillis the length of a window in milliseconds
+     * @param trueTime the agreed time in milliseconds since the epoch
+     */
+    public UsageLedger(long windowMillis, LongSupplier trueTime) {
+        this.windowMillis = windowMillis;
+        this.trueTime = trueTime;
+    }
+
+    private record PeerCustomer(String peer, String customer) {}
+
+    /**
+     * Counts a request that began to run now.
+     *
+     * @param customer the name of the customer
+     */
+    public void began(String customer) {
+        long window = window(trueTime.getAsLong());
+        own.computeIfAbsent(window, key -> new HashMap<>()).merge(customer, 1L, Long::sum);
+        trim(own);
+    }
+
+    /**
+     * Takes a count of a peer; counts only grow.
+     *
+     * @param peer the peer's name and incarnation
+     * @param window the window
+     * @param customer the name of the customer
+     * @param requests the requests that the peer has seen begin
+     */
+    public void heard(String peer, long window, String customer, long requests) {
+        peers.computeIfAbsent(window, key -> new HashMap<>())
+                .merge(new PeerCustomer(peer, customer), requests, Math::max);
+        trim(peers);
+    }
+
+    /**
+     * Returns the window of a time.
+     *
+     * @param timeMillis a time in milliseconds since the epoch
+     * @return the number of the window
+     */
+    public long window(long timeMillis) {
+        return Math.floorDiv(timeMillis, windowMillis);
+    }
+
+    /**
+     * Returns the end of a window.
+     *
+     * @param window the number of the window
+     * @return a time in milliseconds since the epoch
+     */
+    public long endMillis(long window) {
+        return (window + 1) * windowMillis;
+    }
+
+    /**
+     * Returns the counts of this gateway.
+     *
+     * @return counts by window and customer
+     */
+    public Map<Long, Map<String, Long>> own() {
+        return own;
+    }
+
+    /**
+     * Returns the counts of all gateways for a window.
+     *
+     * @param window the number of the window
+     * @return requests by customer
+     */
+    public Map<String, Long> total(long window) {
+        Map<String, Long> total = new HashMap<>(own.getOrDefault(window, Map.of()));
+        peers.getOrDefault(window, Map.of())
+                .forEach((key, requests) -> total.merge(key.customer(), requests, Long::sum));
+        return total;
+    }
+
+    private static void trim(NavigableMap<Long, ?> windows) {
+        while (windows.size() > KEPT_WINDOWS) {
+            windows.pollFirstEntry();
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/package-info.java
@@ -0,0 +1,2 @@
+/** Work that one gateway at a time does for all. */
+package org.lovagethread.gateway.duty;
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Headers.java
@@ -0,0 +1,52 @@
+package org.lovagethread.gateway.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Tells headers that concern one connection from those that pass from end to end. */
+public final class Headers {
+    private static final Set<String> ONE_CONNECTION = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect");
+
+    private Headers() {}
+
+    /**
+     * Copies the headers that pass from end to end; the length of the body is left out as well.
+     *
+     * @param from the headers of the message received
+     * @param to the headers of the message to send
+     */
+    public static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+        Set<String> named = namedByConnection(from);
+        for (Map.Entry<String, String> header : from) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!ONE_CONNECTION.contains(name) && !named.contains(name)) {
+                to.add(header.getKey(), header.getValue());
+            }
+        }
+    }
+
+    private static Set<String> namedByConnection(HttpHeaders headers) {
+        Set<String> names = new HashSet<>();
+        for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : value.split(",", -1)) {
+                names.add(name.strip().toLowerCase(Locale.ROOT));
+            }
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
@@ -0,0 +1,169 @@
+package org.lovagethread.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
+
+/** Sends requests to upstreams over pooled connections. Used by one thread. */
+final class NettyUpstreamClient implements UpstreamClient {
+    /** Time within which a connection must be open, in milliseconds. */
+    private static final int CONNECT_MILLIS = 400;
+
+    /** Time for which a connection may have been idle when a request must not meet a closed one, in milliseconds. */
+    private static final long FRESH_IDLE_MILLIS = 150;
+
+    private static final int MOST_LINE_BYTES = 8_192;
+    private static final int MOST_HEADER_BYTES = 65_536;
+    private static final int CHUNK_BYTES = 65_536;
+
+    private final Bootstrap bootstrap;
+    private final CallerProtocol protocol;
+    private final LongSupplier clock;
+    private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
+    private long opened;
+
+    NettyUpstreamClient(EventLoop loop, CallerProtocol protocol, LongSupplier clock) {
+        this.protocol = protocol;
+        this.clock = clock;
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
+    }
+
+    @Override
+    public Send send(
+            UpstreamEntry upstream,
+            HttpRequest request,
+            HttpHeaders headers,
+            ByteBuf body,
+            boolean fresh,
+            Listener listener) {
+        FullHttpRequest message = message(request, headers, body);
+        Optional<UpstreamConnection> pooled = pooled(upstream.id(), fresh);
+        if (pooled.isPresent()) {
+            return pooled.get().send(message, listener);
+        }
+        return open(upstream, message, listener);
+    }
+
+    /**
+     * Closes connections to upstreams that are gone, and idle ones past their time.
+     *
+     * @param nowMillis the present time in milliseconds
+     */
+    void tick(long nowMillis) {
+        for (Deque<UpstreamConnection> connections : idle.values()) {
+            for (UpstreamConnection connection : connections.toArray(new UpstreamConnection[0])) {
+                if (nowMillis >= connection.idleDeadlineMillis()) {
+                    connections.remove(connection);
+                    connection.close();
+                }
+            }
+        }
+        idle.values().removeIf(Deque::isEmpty);
+    }
+
+    /**
+     * Returns the number of connections opened since the start.
+     *
+     * @return the number of connections
+     */
+    long opened() {
+        return opened;
+    }
+
+    long nowMillis() {
+        return clock.getAsLong();
+    }
+
+    CallerProtocol protocol() {
+        return protocol;
+    }
+
+    void keep(UpstreamConnection connection) {
+        idle.computeIfAbsent(connection.upstreamId(), id -> new ArrayDeque<>()).push(connection);
+    }
+
+    void dropped(UpstreamConnection connection) {
+        Deque<UpstreamConnection> connections = idle.get(connection.upstreamId());
+        if (connections != null) {
+            connections.remove(connection);
+        }
+    }
+
+    private Optional<UpstreamConnection> pooled(String upstreamId, boolean fresh) {
+        Deque<UpstreamConnection> connections = idle.get(upstreamId);
+        long now = clock.getAsLong();
+        while (connections != null && !connections.isEmpty()) {
+            UpstreamConnection connection = connections.peek();
+            boolean usable = connection.usable() && now < connection.idleDeadlineMillis();
+            if (usable && fresh && now - connection.idleSinceMillis() > FRESH_IDLE_MILLIS) {
+                return Optional.empty();
+            }
+            connections.pop();
+            if (usable) {
+                return Optional.of(connection);
+            }
+            connection.close();
+        }
+        return Optional.empty();
+    }
+
+    private Send open(UpstreamEntry upstream, FullHttpRequest message, Listener listener) {
+        opened++;
+        UpstreamConnection connection = new UpstreamConnection(this, upstream.id());
+        ChannelFuture connecting = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(
+                                        MOST_LINE_BYTES, MOST_HEADER_BYTES, CHUNK_BYTES, false, true))
+                                .addLast(connection);
+                    }
+                })
+                .connect(upstream.host(), upstream.port());
+        Channel channel = connecting.channel();
+        Send send = connection.prepare(channel, message, listener);
+        connecting.addListener(future -> connection.connected(future.isSuccess()));
+        return send;
+    }
+
+    private static FullHttpRequest message(HttpRequest request, HttpHeaders headers, ByteBuf body) {
+        DefaultFullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, request.method(), request.uri(), body.retainedDuplicate(), false);
+        message.headers().set(headers);
+        boolean hasBody = body.isReadable()
+                || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+                || request.method().equals(HttpMethod.POST);
+        if (hasBody) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        return message;
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Ports.java
@@ -0,0 +1,17 @@
+package org.lovagethread.gateway.http;
+
+import org.lovagethread.gateway.config.ConfigurationDecoder;
+import org.lovagethread.gateway.duty.DutyApi;
+import org.lovagethread.gateway.store.ObjectStore;
+
+/**
+ * The ports through which a gateway meets the platform.
+ *
+ * @param store the store
+ * @param duties the calls that one gateway at a time makes
+ * @param decoder decodes configurations and entries of upstreams
+ * @param callers translates headers
+ * @param entry translates questions where to connect
+ */
+public record Ports(
+        ObjectStore store, DutyApi duties, ConfigurationDecoder decoder, CallerProtocol callers, EntryProtocol entry) {}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StrictRequestDecoder.java
@@ -0,0 +1,34 @@
+package org.lovagethread.gateway.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.List;
+
+/** Decodes requests and rejects those whose body could be framed in two ways. */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+    private static final int CHUNK_BYTES = 65_536;
+
+    StrictRequestDecoder(int mostHeaderBytes) {
+        super(mostHeaderBytes, mostHeaderBytes, CHUNK_BYTES);
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("both a length and a transfer encoding");
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        List<String> encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean chunkedOnly = encodings.isEmpty()
+                || (encodings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                encodings.get(0).strip()));
+        if (!chunkedOnly) {
+            throw new IllegalArgumentException("a transfer encoding other than chunked");
+        }
+        return super.isContentAlwaysEmpty(message);
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/package-info.java
@@ -0,0 +1,2 @@
+/** Serves callers over HTTP and passes their requests to upstreams. */
+package org.lovagethread.gateway.http;
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/EventLog.java
@@ -0,0 +1,128 @@
+package org.lovagethread.gateway.log;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.jctools.queues.MpscArrayQueue;
+
+/**
+ * Writes log lines on a thread of its own.
+ *
+ * <p>Adding a line never blocks: when the ring is full the line is dropped and counted, and the count is written later.
+ */
+public final class EventLog {
+    private static final int RING_LINES = 4_096;
+    private static final long WRITE_NANOS = 100_000_000L;
+    private static final int BATCH_BYTES = 32_768;
+
+    private final MpscArrayQueue<String> ring = new MpscArrayQueue<>(RING_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private final OutputStream out;
+    private final String node;
+    private volatile boolean closed;
+    private Thread writer;
+
+    /**
+     * Creates a log.
+     *
+     * @param node the name of this node, repeated in each line
+     * @param out takes the lines
+     */
+    public EventLog(String node, OutputStream out) {
+        this.node = node;
+        this.out = out;
+    }
+
+    /** Starts to write. */
+    public void start() {
+        writer = new Thread(this::run, "log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /**
+     * Starts a line with the present time of day.
+     *
+     * @param event the kind of event
+     * @return the line
+     */
+    public LogLine line(String event) {
+        return new LogLine(event).put("at", Instant.now().toString()).put("node", node);
+    }
+
+    /**
+     * Adds a line.
+     *
+     * @param line the line
+     */
+    public void add(LogLine line) {
+        if (!ring.offer(line.finish())) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    /**
+     * Returns the number of lines that were dropped.
+     *
+     * @return the number since the start
+     */
+    public long dropped() {
+        return dropped.get();
+    }
+
+    /** Writes what is left and stops. */
+    public void close() {
+        closed = true;
+        LockSupport.unpark(writer);
+        try {
+            writer.join(500);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        long told = 0;
+        while (true) {
+            boolean last = closed;
+            long now = dropped.get();
+            if (now > told) {
+                write(line("log-lines-dropped").put("count", now - told).finish());
+                told = now;
+            }
+            drain();
+            if (last) {
+                return;
+            }
+            LockSupport.parkNanos(WRITE_NANOS);
+        }
+    }
+
+    private void drain() {
+        StringBuilder batch = new StringBuilder();
+        String line = ring.poll();
+        while (line != null) {
+            batch.append(line);
+            if (batch.length() >= BATCH_BYTES) {
+                write(batch.toString());
+                batch.setLength(0);
+            }
+            line = ring.poll();
+        }
+        if (batch.length() > 0) {
+            write(batch.toString());
+        }
+    }
+
+    private void write(String text) {
+        try {
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        } catch (IOException e) {
+            dropped.incrementAndGet();
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -0,0 +1,99 @@
+package org.lovagethread.gateway.log;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+
+/** Holds the metrics of a gateway. */
+public final class GatewayMetrics {
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter outcomes = Counter.builder()
+            .name("lovagethread_requests_total")
+            .help("Requests by route, customer and outcome.")
+            .labelNames("route", "customer", "outcome")
+            .register(registry);
+    private final Histogram answers = Histogram.builder()
+            .name("lovagethread_answer_start_seconds")
+            .help("Time from the arrival of a request to its answer or first event.")
+            .labelNames("route", "customer")
+            .classicOnly()
+            .classicUpperBounds(0.01, 0.03, 0.1, 0.15, 0.3, 0.4, 0.6, 0.8, 1.2, 2.5, 5, 10)
+            .register(registry);
+    private final Counter refusals = Counter.builder()
+            .name("lovagethread_refusals_total")
+            .help("Requests that were not admitted, by kind of error.")
+            .labelNames("kind")
+            .register(registry);
+    private final Counter connectionFailures = Counter.builder()
+            .name("lovagethread_connection_failures_total")
+            .help("Connections of callers that ended with an error.")
+            .labelNames("cause")
+            .register(registry);
+    private final Gauge gauges = Gauge.builder()
+            .name("lovagethread_state")
+            .help("State of the gateway by name.")
+            .labelNames("name")
+            .register(registry);
+
+    /**
+     * Counts a request that has ended.
+     *
+     * @param route the name of its route
+     * @param customer the name of its customer; an empty text if it has none
+     * @param outcome how it ended
+     * @param answerMillis the time to its answer or first event in milliseconds
+     */
+    public void ended(String route, String customer, String outcome, long answerMillis) {
+        outcomes.labelValues(route, customer, outcome).inc();
+        answers.labelValues(route, customer).observe(answerMillis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Counts a request that was not admitted.
+     *
+     * @param kind the label of the kind of error
+     */
+    public void refused(String kind) {
+        refusals.labelValues(kind).inc();
+    }
+
+    /**
+     * Counts a connection of a caller that ended with an error.
+     *
+     * @param cause the kind of error
+     */
+    public void connectionFailed(String cause) {
+        connectionFailures.labelValues(cause).inc();
+    }
+
+    /**
+     * Sets a state of the gateway.
+     *
+     * @param name the name of the state
+     * @param value its present value
+     */
+    public void state(String name, long value) {
+        gauges.labelValues(name).set((double) value);
+    }
+
+    /**
+     * Returns all metrics in the Prometheus text format.
+     *
+     * @return the text
+     */
+    public byte[] exposition() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.builder().build().write(bytes, registry.scrape());
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines and metrics of a gateway. */
+package org.lovagethread.gateway.log;
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/PeerLink.java
@@ -0,0 +1,91 @@
+package org.lovagethread.gateway.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.lovagethread.wire.generated.GatewayState;
+
+/** Sends and receives the state of gateways in datagrams. */
+public final class PeerLink {
+    private static final int MOST_DATAGRAM_BYTES = 65_507;
+
+    private final Channel channel;
+    private final int port;
+
+    /**
+     * Opens the link.
+     *
+     * @param loop the thread of the gateway
+     * @param host the IP address of this gateway
+     * @param port the port that all gateways use
+     * @param listener takes the state of peers
+     * @param unreadable told when a datagram cannot be read
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public PeerLink(EventLoop loop, String host, int port, Consumer<GatewayState> listener, Consumer<String> unreadable)
+            throws InterruptedException {
+        this.port = port;
+        this.channel = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_DATAGRAM_BYTES))
+                .handler(new Receiver(listener, unreadable))
+                .bind(host, port)
+                .sync()
+                .channel();
+    }
+
+    /**
+     * Sends the state of this gateway.
+     *
+     * @param state the state
+     * @param hosts the IP addresses of the peers
+     */
+    public void send(GatewayState state, Set<String> hosts) {
+        byte[] bytes = state.toByteArray();
+        if (bytes.length > MOST_DATAGRAM_BYTES) {
+            throw new IllegalArgumentException("state must fit a datagram but has " + bytes.length + " bytes");
+        }
+        for (String host : hosts) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(host, port)));
+        }
+        channel.flush();
+    }
+
+    private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final Consumer<GatewayState> listener;
+        private final Consumer<String> unreadable;
+
+        private Receiver(Consumer<GatewayState> listener, Consumer<String> unreadable) {
+            this.listener = listener;
+            this.unreadable = unreadable;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) throws IOException {
+            try (ByteBufInputStream bytes = new ByteBufInputStream(packet.content())) {
+                listener.accept(GatewayState.parseFrom(bytes));
+            } catch (InvalidProtocolBufferException e) {
+                unreadable.accept(e.getMessage());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            unreadable.accept(cause.toString());
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Exchange of state between gateways. */
+package org.lovagethread.gateway.peer;
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/RetryBudget.java
@@ -0,0 +1,95 @@
+package org.lovagethread.gateway.policy;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Bounds what all gateways together send to a service beyond the first send of each request.
+ *
+ * <p>Each gateway allows itself a share of its own requests and an even part of the fixed allowance, so the sum holds
+ * whichever gateways cannot hear each other.
+ */
+public final class RetryBudget {
+    /** Number of slices into which the window is divided. */
+    private static final int SLICES = 10;
+
+    /** Part of the allowance that is used, which leaves room for sends that overlap two windows. */
+    private static final double SAFETY = 0.85;
+
+    private final double ratio;
+    private final double allowance;
+    private final long sliceMillis;
+    private final Map<String, Window> windows = new HashMap<>();
+
+    /**
+     * Creates a budget.
+     *
+     * @param ratio the extra sends allowed for each request
+     * @param allowance the extra sends allowed in a window besides, over all gateways
+     * @param windowMillis the length of the window in milliseconds
+     */
+    public RetryBudget(double ratio, double allowance, long windowMillis) {
+        this.ratio = ratio;
+        this.allowance = allowance;
+        this.sliceMillis = Math.max(1, windowMillis / SLICES);
+    }
+
+    private static final class Window {
+        private final long[] requests = new long[SLICES + 1];
+        private final long[] extras = new long[SLICES + 1];
+        private long slice;
+
+        private void advance(long now) {
+            long steps = Math.min(now - slice, SLICES + 1L);
+            for (long i = 1; i <= steps; i++) {
+                int index = (int) Math.floorMod(slice + i, SLICES + 1L);
+                requests[index] = 0;
+                extras[index] = 0;
+            }
+            slice = Math.max(slice, now);
+        }
+
+        private static long sum(long[] counts) {
+            long total = 0;
+            for (long count : counts) {
+                total += count;
+            }
+            return total;
+        }
+    }
+
+    /**
+     * Counts a request for a service.
+     *
+     * @param service the name of the service
+     * @param nowMillis the present time in milliseconds
+     */
+    public void requested(String service, long nowMillis) {
+        Window window = window(service, nowMillis);
+        window.requests[(int) Math.floorMod(window.slice, SLICES + 1L)]++;
+    }
+
+    /**
+     * Takes an extra send if the budget allows one.
+     *
+     * @param service the name of the service
+     * @param gateways the number of gateways that share the allowance; at least one
+     * @param nowMillis the present time in milliseconds
+     * @return true if the send is allowed and has been counted
+     */
+    public boolean tryTake(String service, int gateways, long nowMillis) {
+        Window window = window(service, nowMillis);
+        double most = SAFETY * (ratio * Window.sum(window.requests) + allowance / Math.max(1, gateways));
+        if (Window.sum(window.extras) + 1 > most) {
+            return false;
+        }
+        window.extras[(int) Math.floorMod(window.slice, SLICES + 1L)]++;
+        return true;
+    }
+
+    private Window window(String service, long nowMillis) {
+        Window window = windows.computeIfAbsent(service, name -> new Window());
+        window.advance(nowMillis / sliceMillis);
+        return window;
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -0,0 +1,318 @@
+package org.lovagethread.gateway.store;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lovagethread.gateway.config.ConfigurationDecoder;
+import org.lovagethread.gateway.config.GatewayConfiguration;
+import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.gateway.upstream.UpstreamTable;
+import org.lovagethread.wire.generated.UpstreamListing;
+import org.lovagethread.wire.generated.UpstreamRecord;
+
+/**
+ * Keeps the configuration and the upstreams as the store, or a peer that reaches it, has them.
+ *
+ * <p>The version of the configuration never goes back while the process lives.
+ */
+public final class StateSync {
+    /** Longest wait of one watch for the configuration or upstreams, in milliseconds. */
+    private static final long WATCH_MILLIS = 5_000;
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Scheduler scheduler;
+    private final ConfigurationDecoder decoder;
+    private final UpstreamTable table;
+    private final EventLog log;
+    private final StoreLink link = new StoreLink();
+    private final KindWatcher configurations;
+    private final KindWatcher upstreams;
+    private final Map<String, StoredObject> records = new LinkedHashMap<>();
+    private Optional<GatewayConfiguration> configuration = Optional.empty();
+    private Optional<JsonNode> configurationContent = Optional.empty();
+    private long upstreamsRevision = -1;
+    private long restartedFor = -1;
+    private boolean listed;
+
+    /**
+     * Creates a synchronization that has not begun.
+     *
+     * @param store the store
+     * @param decoder decodes configurations and entries
+     * @param table takes the upstreams
+     * @param scheduler tells the time and runs calls later
+     * @param log takes a line for each change of belief
+     */
+    public StateSync(
+            ObjectStore store, ConfigurationDecoder decoder, UpstreamTable table, Scheduler scheduler, EventLog log) {
+        this.scheduler = scheduler;
+        this.decoder = decoder;
+        this.table = table;
+        this.log = log;
+        this.configurations =
+                new KindWatcher(store, ObjectKind.CONFIGURATION, WATCH_MILLIS, scheduler, new ConfigurationObserver());
+        this.upstreams = new KindWatcher(store, ObjectKind.UPSTREAMS, WATCH_MILLIS, scheduler, new UpstreamObserver());
+    }
+
+    /** Begins to follow the store. */
+    public void start() {
+        configurations.start();
+        upstreams.start();
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration, or empty before the first is known
+     */
+    public Optional<GatewayConfiguration> configuration() {
+        return configuration;
+    }
+
+    /**
+     * Returns the configuration in force as it was written.
+     *
+     * @return the content in JSON, or empty before the first is known
+     */
+    public Optional<ByteString> configurationBytes() {
+        return configurationContent.map(StateSync::bytes);
+    }
+
+    /**
+     * Tells whether configuration and upstreams are known.
+     *
+     * @return true if requests can be served
+     */
+    public boolean complete() {
+        return configuration.isPresent() && listed;
+    }
+
+    /**
+     * Returns the revision of the last change of upstreams that was seen.
+     *
+     * @return the revision, or a negative number if none was seen
+     */
+    public long upstreamsRevision() {
+        return upstreamsRevision;
+    }
+
+    /**
+     * Returns whether the store answers.
+     *
+     * @return the link to the store
+     */
+    public StoreLink link() {
+        return link;
+    }
+
+    /**
+     * Takes a configuration if it is newer than the one in force.
+     *
+     * @param content the content as it was written
+     * @param source where it came from, for logs
+     */
+    public void offerConfiguration(JsonNode content, String source) {
+        Either<String, GatewayConfiguration> decoded = decoder.configuration(content);
+        if (decoded.isLeft()) {
+            log.add(log.line("configuration-unreadable").put("source", source).put("reason", decoded.getLeft()));
+            return;
+        }
+        GatewayConfiguration offered = decoded.get();
+        if (configuration
+                .filter(inForce -> inForce.version() >= offered.version())
+                .isPresent()) {
+            return;
+        }
+        log.add(log.line("configuration-in-force")
+                .put("version", offered.version())
+                .put(
+                        "previous",
+                        configuration.map(GatewayConfiguration::version).orElse(-1L))
+                .put("source", source));
+        configuration = Optional.of(offered);
+        configurationContent = Optional.of(content);
+    }
+
+    /**
+     * Takes a configuration from a peer.
+     *
+     * @param bytes the content in JSON
+     * @param peer the name of the peer
+     */
+    public void offerConfiguration(ByteString bytes, String peer) {
+        try {
+            offerConfiguration(JSON.readTree(bytes.newInput()), peer);
+        } catch (IOException e) {
+            log.add(log.line("configuration-unreadable").put("source", peer).put("reason", e.getMessage()));
+        }
+    }
+
+    /**
+     * Returns all upstreams for a peer.
+     *
+     * @return the encoded list
+     */
+    public ByteString upstreamBytes() {
+        UpstreamListing.Builder listing = UpstreamListing.newBuilder().setRevision(upstreamsRevision);
+        for (StoredObject object : records.values()) {
+            listing.addUpstreams(
+                    UpstreamRecord.newBuilder().setId(object.name()).setContent(bytes(object.content())));
+        }
+        return listing.build().toByteString();
+    }
+
+    /**
+     * Takes all upstreams from a peer that has heard of later changes.
+     *
+     * @param bytes the encoded list
+     * @param peer the name of the peer
+     */
+    public void offerUpstreams(ByteString bytes, String peer) {
+        try {
+            UpstreamListing listing = UpstreamListing.parseFrom(bytes);
+            if (listing.getRevision() <= upstreamsRevision) {
+                return;
+            }
+            List<StoredObject> objects = new ArrayList<>();
+            for (UpstreamRecord upstream : listing.getUpstreamsList()) {
+                JsonNode content = JSON.readTree(upstream.getContent().newInput());
+                objects.add(new StoredObject(upstream.getId(), listing.getRevision(), content));
+            }
+            log.add(log.line("upstreams-from-peer").put("source", peer).put("revision", listing.getRevision()));
+            replaceUpstreams(objects, listing.getRevision());
+        } catch (InvalidProtocolBufferException e) {
+            log.add(log.line("upstreams-unreadable").put("source", peer).put("reason", e.getMessage()));
+        } catch (IOException e) {
+            log.add(log.line("upstreams-unreadable").put("source", peer).put("reason", e.toString()));
+        }
+    }
+
+    /**
+     * Makes the watch for upstreams again if a peer has seen a change that this gateway should have seen too.
+     *
+     * @param revision the revision of the last change that the peer has seen
+     */
+    public void peerSaw(long revision) {
+        if (revision > upstreams.revision() && revision > restartedFor && link.reachable()) {
+            restartedFor = revision;
+            upstreams.restart();
+        }
+    }
+
+    /** Makes the watch for the configuration again because a peer has a later one. */
+    public void peerHasLaterConfiguration() {
+        if (link.reachable()) {
+            configurations.restart();
+        }
+    }
+
+    private void replaceUpstreams(List<StoredObject> objects, long revision) {
+        records.clear();
+        List<UpstreamEntry> entries = new ArrayList<>();
+        for (StoredObject object : objects) {
+            records.put(object.name(), object);
+            Either<String, UpstreamEntry> decoded = decoder.upstream(object);
+            if (decoded.isRight()) {
+                entries.add(decoded.get());
+            } else {
+                unreadable(object, decoded.getLeft());
+            }
+        }
+        listed = true;
+        upstreamsRevision = Math.max(upstreamsRevision, revision);
+        table.replaceAll(entries, link.returnedMillis(), scheduler.nowMillis());
+    }
+
+    private void unreadable(StoredObject object, String reason) {
+        log.add(log.line("upstream-unreadable").put("upstream", object.name()).put("reason", reason));
+    }
+
+    private void changed(ObjectStore.Change change, long revision) {
+        upstreamsRevision = Math.max(upstreamsRevision, revision);
+        StoredObject object = change.object();
+        long now = scheduler.nowMillis();
+        if (change.removed()) {
+            records.remove(object.name());
+            boolean gone = table.remove(object.name(), link.returnedMillis(), now);
+            log.add(log.line("upstream-removed")
+                    .put("upstream", object.name())
+                    .put("revision", revision)
+                    .put("gone", gone));
+            return;
+        }
+        records.put(object.name(), object);
+        Either<String, UpstreamEntry> decoded = decoder.upstream(object);
+        if (decoded.isLeft()) {
+            unreadable(object, decoded.getLeft());
+            table.remove(object.name(), link.returnedMillis(), now);
+        } else if (table.put(decoded.get(), now)) {
+            log.add(log.line("upstream-changed")
+                    .put("upstream", object.name())
+                    .put("service", decoded.get().service())
+                    .put("zone", decoded.get().zone())
+                    .put("revision", revision)
+                    .put("leaving", decoded.get().leaving()));
+        }
+    }
+
+    private void called(boolean answered) {
+        if (link.called(answered, scheduler.nowMillis())) {
+            log.add(log.line(link.reachable() ? "store-regained" : "store-lost"));
+        }
+    }
+
+    private static ByteString bytes(JsonNode content) {
+        try {
+            return ByteString.copyFrom(JSON.writeValueAsBytes(content));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree cannot be written as JSON", e);
+        }
+    }
+
+    private final class ConfigurationObserver implements KindWatcher.Observer {
+        @Override
+        public void listed(List<StoredObject> objects, long revision) {
+            objects.forEach(object -> offerConfiguration(object.content(), "store"));
+        }
+
+        @Override
+        public void changed(ObjectStore.Change change, long revision) {
+            if (!change.removed()) {
+                offerConfiguration(change.object().content(), "store");
+            }
+        }
+
+        @Override
+        public void called(boolean answered) {
+            StateSync.this.called(answered);
+        }
+    }
+
+    private final class UpstreamObserver implements KindWatcher.Observer {
+        @Override
+        public void listed(List<StoredObject> objects, long revision) {
+            replaceUpstreams(objects, revision);
+        }
+
+        @Override
+        public void changed(ObjectStore.Change change, long revision) {
+            StateSync.this.changed(change, revision);
+        }
+
+        @Override
+        public void called(boolean answered) {
+            StateSync.this.called(answered);
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamEntry.java
@@ -0,0 +1,35 @@
+package org.lovagethread.gateway.upstream;
+
+/**
+ * What an upstream says of itself.
+ *
+ * @param id the id of the upstream
+ * @param service the service that it offers
+ * @param host the IP address
+ * @param port the port
+ * @param zone the availability zone
+ * @param slots the requests that it works on at once; zero if not stated
+ * @param leaving whether it has announced that it leaves
+ * @param reclaimable whether it runs on a reclaimable instance
+ * @param startedAtMillis the start of its process in milliseconds since the epoch; zero if not stated
+ */
+public record UpstreamEntry(
+        String id,
+        String service,
+        String host,
+        int port,
+        String zone,
+        int slots,
+        boolean leaving,
+        boolean reclaimable,
+        long startedAtMillis) {
+
+    /**
+     * Returns the entry with the mark that the upstream leaves.
+     *
+     * @return a leaving entry
+     */
+    public UpstreamEntry asLeaving() {
+        return new UpstreamEntry(id, service, host, port, zone, slots, true, reclaimable, startedAtMillis);
+    }
+}
--- a/lovagethread-node/src/main/java/org/lovagethread/node/NodeKeys.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/NodeKeys.java
@@ -1,8 +1,8 @@
 package org.lovagethread.node;
 
 import java.util.List;
-import org.lovagethread.platform.settings.SettingKey;
-import org.lovagethread.platform.settings.SettingType;
+import org.lovagethread.supplier.settings.SettingKey;
+import org.lovagethread.supplier.settings.SettingType;
 
 /** Lists the settings of a node. */
 public final class NodeKeys {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/NodeMain.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/NodeMain.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -14,8 +15,9 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.lovagethread.node.telemetry.JsonLogFormatter;
-import org.lovagethread.platform.settings.Settings;
-import org.lovagethread.platform.settings.SettingsReader;
+import org.lovagethread.platform.PlatformNode;
+import org.lovagethread.supplier.settings.Settings;
+import org.lovagethread.supplier.settings.SettingsReader;
 
 /** Starts a node as a process. */
 public final class NodeMain {
@@ -44,6 +46,11 @@
      * @throws Exception if a port cannot be used
      */
     public static void main(String[] args) throws Exception {
+        Optional<Path> platformSettings = PlatformNode.settingsPath();
+        if (args.length == 0 && platformSettings.isPresent()) {
+            PlatformNode.run(platformSettings.get());
+            return;
+        }
         CommandLine line = parse(args);
         if (line.hasOption("help")) {
             new HelpFormatter().printHelp("lovagethread-node --settings FILE", OPTIONS);
--- a/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallParser.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/CallParser.java
@@ -8,8 +8,8 @@
 import java.util.regex.Pattern;
 import org.lovagethread.core.call.CallKind;
 import org.lovagethread.core.call.CallRequest;
-import org.lovagethread.platform.Digests;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Digests;
+import org.lovagethread.supplier.Json;
 import ratpack.http.Headers;
 
 /** Reads calls from HTTP requests and refuses malformed ones. */
--- a/lovagethread-node/src/main/java/org/lovagethread/node/caller/Replies.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/caller/Replies.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.lovagethread.core.error.ErrorKind;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Json;
 
 /** Writes the JSON texts that callers receive from the node itself. */
 final class Replies {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/peer/PeerDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/peer/PeerDuty.java
@@ -8,7 +8,7 @@
 import org.lovagethread.core.event.Event;
 import org.lovagethread.node.duty.Duty;
 import org.lovagethread.node.duty.Ring;
-import org.lovagethread.node.platform.SheetHolder;
+import org.lovagethread.node.supplier.SheetHolder;
 import org.lovagethread.wire.PeerKey;
 import org.lovagethread.wire.PeerListener;
 import org.lovagethread.wire.PeerMessage;
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/ConfigurationDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/supplier/ConfigurationDuty.java
@@ -1,11 +1,11 @@
-package org.lovagethread.node.platform;
+package org.lovagethread.node.supplier;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.lovagethread.node.duty.Duty;
-import org.lovagethread.platform.objects.ConfigurationStore;
-import org.lovagethread.platform.objects.ConfigurationStore.StoredRoot;
-import org.lovagethread.platform.objects.RevisionEntry;
+import org.lovagethread.supplier.objects.ConfigurationStore;
+import org.lovagethread.supplier.objects.ConfigurationStore.StoredRoot;
+import org.lovagethread.supplier.objects.RevisionEntry;
 
 /** Follows the configuration in the Object API. */
 public final class ConfigurationDuty implements Duty {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/DirectoryDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/supplier/DirectoryDuty.java
@@ -1,4 +1,4 @@
-package org.lovagethread.node.platform;
+package org.lovagethread.node.supplier;
 
 import java.util.List;
 import java.util.Optional;
@@ -6,8 +6,8 @@
 import org.lovagethread.core.event.Event;
 import org.lovagethread.node.duty.Duty;
 import org.lovagethread.node.duty.NodeClock;
-import org.lovagethread.platform.objects.NodeDirectory;
-import org.lovagethread.platform.objects.NodeEntry;
+import org.lovagethread.supplier.objects.NodeDirectory;
+import org.lovagethread.supplier.objects.NodeEntry;
 
 /** Keeps this node's entry in the directory and learns the addresses of its peers. */
 public final class DirectoryDuty implements Duty {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/InstanceDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/supplier/InstanceDuty.java
@@ -1,4 +1,4 @@
-package org.lovagethread.node.platform;
+package org.lovagethread.node.supplier;
 
 import java.util.List;
 import java.util.Optional;
@@ -6,7 +6,7 @@
 import org.lovagethread.core.event.Event;
 import org.lovagethread.core.upstream.UpstreamInfo;
 import org.lovagethread.node.duty.Duty;
-import org.lovagethread.platform.instances.InstanceClient;
+import org.lovagethread.supplier.instances.InstanceClient;
 
 /** Reads the instance list again and again, and tells the core about changes. */
 public final class InstanceDuty implements Duty {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/NoticeDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/supplier/NoticeDuty.java
@@ -1,12 +1,12 @@
-package org.lovagethread.node.platform;
+package org.lovagethread.node.supplier;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.lovagethread.core.event.Event;
 import org.lovagethread.node.duty.Duty;
-import org.lovagethread.platform.instances.InstanceClient;
-import org.lovagethread.platform.instances.ReclaimNotice;
+import org.lovagethread.supplier.instances.InstanceClient;
+import org.lovagethread.supplier.instances.ReclaimNotice;
 
 /** Waits for reclaim notices of the Cloud API. */
 public final class NoticeDuty implements Duty {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/OrderDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/supplier/OrderDuty.java
@@ -1,4 +1,4 @@
-package org.lovagethread.node.platform;
+package org.lovagethread.node.supplier;
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -10,7 +10,7 @@
 import org.lovagethread.node.duty.Duty;
 import org.lovagethread.node.duty.NodeClock;
 import org.lovagethread.node.duty.Ring;
-import org.lovagethread.platform.engines.EngineClient;
+import org.lovagethread.supplier.engines.EngineClient;
 
 /** Sends orders to engines, and looks at the deadline of each immediately before. */
 public final class OrderDuty implements Duty {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/SheetHolder.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/supplier/SheetHolder.java
@@ -1,4 +1,4 @@
-package org.lovagethread.node.platform;
+package org.lovagethread.node.supplier;
 
 import io.vavr.control.Either;
 import java.lang.System.Logger;
@@ -8,10 +8,10 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.lovagethread.core.event.Event;
-import org.lovagethread.platform.Digests;
-import org.lovagethread.platform.sheet.Sheet;
-import org.lovagethread.platform.sheet.SheetError;
-import org.lovagethread.platform.sheet.SheetParser;
+import org.lovagethread.supplier.Digests;
+import org.lovagethread.supplier.sheet.Sheet;
+import org.lovagethread.supplier.sheet.SheetError;
+import org.lovagethread.supplier.sheet.SheetParser;
 
 /** Checks sheets from the Object API and from peers, offers them to the core, and keeps the newest for peers. */
 public final class SheetHolder {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/StoreDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/supplier/StoreDuty.java
@@ -1,4 +1,4 @@
-package org.lovagethread.node.platform;
+package org.lovagethread.node.supplier;
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -10,8 +10,8 @@
 import org.lovagethread.core.store.StoreStatus;
 import org.lovagethread.node.duty.Duty;
 import org.lovagethread.node.duty.Ring;
-import org.lovagethread.platform.objects.ClaimStore;
-import org.lovagethread.platform.objects.LeaseStore;
+import org.lovagethread.supplier.objects.ClaimStore;
+import org.lovagethread.supplier.objects.LeaseStore;
 
 /** Carries out the core's reads and writes of claims and leases, with a bound on those in flight. */
 public final class StoreDuty implements Duty {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/platform/package-info.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/supplier/package-info.java
@@ -1,2 +1,2 @@
 /** Duties that talk to the platform: claims, configuration, instances, notices and the directory of nodes. */
-package org.lovagethread.node.platform;
+package org.lovagethread.node.supplier;
--- a/lovagethread-node/src/main/java/org/lovagethread/node/telemetry/JsonLogFormatter.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/telemetry/JsonLogFormatter.java
@@ -6,7 +6,7 @@
 import java.io.StringWriter;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Json;
 
 /** Writes each log record as one line of JSON. */
 public final class JsonLogFormatter extends Formatter {
--- a/lovagethread-node/src/main/java/org/lovagethread/node/upstream/EngineStreamReader.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/upstream/EngineStreamReader.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import org.lovagethread.core.call.AttemptOutcome;
 import org.lovagethread.node.caller.ChunkResult;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Json;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
--- a/lovagethread-node/src/main/java/org/lovagethread/node/upstream/UpstreamDuty.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/upstream/UpstreamDuty.java
@@ -20,7 +20,7 @@
 import org.lovagethread.node.duty.Duty;
 import org.lovagethread.node.duty.NodeClock;
 import org.lovagethread.node.duty.Ring;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Json;
 import ratpack.exec.ExecController;
 import ratpack.exec.Execution;
 import ratpack.func.Action;
--- a/lovagethread-node/src/test/java/org/lovagethread/node/DocumentsTest.java
+++ b/lovagethread-node/src/test/java/org/lovagethread/node/DocumentsTest.java
@@ -10,7 +10,7 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.lovagethread.core.error.ErrorKind;
-import org.lovagethread.platform.settings.SettingKey;
+import org.lovagethread.supplier.settings.SettingKey;
 
 /** Holds the documents and the tables in the code together. */
 class DocumentsTest {
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/Digests.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/Digests.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform;
+package org.lovagethread.supplier;
 
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/Json.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/Json.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform;
+package org.lovagethread.supplier;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/engines/EngineClient.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/engines/EngineClient.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.engines;
+package org.lovagethread.supplier.engines;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -8,7 +8,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import org.lovagethread.core.lease.OrderOutcome;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Json;
 
 /** Gives orders to model engines. */
 public final class EngineClient {
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/engines/package-info.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/engines/package-info.java
@@ -1,2 +1,2 @@
 /** Client of the orders that model engines take. */
-package org.lovagethread.platform.engines;
+package org.lovagethread.supplier.engines;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/instances/InstanceClient.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/instances/InstanceClient.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.instances;
+package org.lovagethread.supplier.instances;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import java.io.IOException;
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.lovagethread.core.upstream.UpstreamInfo;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Json;
 
 /** Reads the instance list and the Cloud API's reclaim notices. */
 public final class InstanceClient {
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/instances/ReclaimNotice.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/instances/ReclaimNotice.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.instances;
+package org.lovagethread.supplier.instances;
 
 /**
  * Announces that the platform will reclaim an instance.
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/instances/package-info.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/instances/package-info.java
@@ -1,2 +1,2 @@
 /** Clients of the instance list and of the Cloud API's reclaim notices. */
-package org.lovagethread.platform.instances;
+package org.lovagethread.supplier.instances;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/ConfigurationStore.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/objects/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.objects;
+package org.lovagethread.supplier.objects;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.lovagethread.core.store.StoreStatus;
-import org.lovagethread.platform.Digests;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Digests;
+import org.lovagethread.supplier.Json;
 
 /**
  * Keeps the configuration in the Object API.
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/ListedObject.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/objects/ListedObject.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.objects;
+package org.lovagethread.supplier.objects;
 
 /**
  * Describes one object found by a listing.
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/NodeDirectory.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/objects/NodeDirectory.java
@@ -1,11 +1,11 @@
-package org.lovagethread.platform.objects;
+package org.lovagethread.supplier.objects;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.lovagethread.core.store.StoreStatus;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Json;
 
 /** Lists the nodes of one cell in the Object API, so that a new node finds its peers. */
 public final class NodeDirectory {
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/NodeEntry.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/objects/NodeEntry.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.objects;
+package org.lovagethread.supplier.objects;
 
 /**
  * Describes one node in the directory of nodes.
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/ObjectApiClient.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/objects/ObjectApiClient.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.objects;
+package org.lovagethread.supplier.objects;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import java.io.IOException;
@@ -14,7 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.lovagethread.core.store.StoreStatus;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Json;
 
 /**
  * Talks to the Object API over HTTP.
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/RevisionEntry.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/objects/RevisionEntry.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.objects;
+package org.lovagethread.supplier.objects;
 
 import java.util.List;
 
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/StoredJson.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/objects/StoredJson.java
@@ -1,10 +1,10 @@
-package org.lovagethread.platform.objects;
+package org.lovagethread.supplier.objects;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.util.Optional;
 import org.lovagethread.core.store.StoreStatus;
-import org.lovagethread.platform.Json;
+import org.lovagethread.supplier.Json;
 
 /** Converts between typed objects and the JSON bytes that the Object API stores. */
 final class StoredJson {
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/objects/package-info.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/objects/package-info.java
@@ -1,2 +1,2 @@
 /** Client of the Object API and typed access to the objects that the system keeps there. */
-package org.lovagethread.platform.objects;
+package org.lovagethread.supplier.objects;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/package-info.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/package-info.java
@@ -1,2 +1,2 @@
 /** Clients of the platform that the nodes run on: Object API, Cloud API and instance list, and the forms kept there. */
-package org.lovagethread.platform;
+package org.lovagethread.supplier;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/settings/SettingKey.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/settings/SettingKey.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.settings;
+package org.lovagethread.supplier.settings;
 
 import java.util.Objects;
 import java.util.Optional;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/settings/Settings.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/settings/Settings.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.settings;
+package org.lovagethread.supplier.settings;
 
 import java.io.IOException;
 import java.net.URI;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/settings/SettingsReader.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.settings;
+package org.lovagethread.supplier.settings;
 
 import io.vavr.control.Either;
 import java.io.IOException;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/settings/package-info.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/settings/package-info.java
@@ -1,2 +1,2 @@
 /** Reading of INI settings files with errors that name file, line and key. */
-package org.lovagethread.platform.settings;
+package org.lovagethread.supplier.settings;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/sheet/Sheet.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/sheet/Sheet.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.sheet;
+package org.lovagethread.supplier.sheet;
 
 import java.util.List;
 import org.lovagethread.core.config.Configuration;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/sheet/SheetError.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/sheet/SheetError.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.sheet;
+package org.lovagethread.supplier.sheet;
 
 /**
  * Describes one mistake in a sheet.
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/sheet/SheetParser.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/sheet/SheetParser.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.sheet;
+package org.lovagethread.supplier.sheet;
 
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -19,7 +19,7 @@
 import org.lovagethread.core.config.PriorityClass;
 import org.lovagethread.core.config.Service;
 import org.lovagethread.core.config.ServiceKind;
-import org.lovagethread.platform.Digests;
+import org.lovagethread.supplier.Digests;
 
 /**
  * Reads the morning sheet, a CSV file as a spreadsheet exports it.
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/sheet/SheetRow.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/sheet/SheetRow.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.sheet;
+package org.lovagethread.supplier.sheet;
 
 import java.util.Arrays;
 import java.util.List;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/sheet/package-info.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/sheet/package-info.java
@@ -1,2 +1,2 @@
 /** Reading of the morning sheet into the typed configuration. */
-package org.lovagethread.platform.sheet;
+package org.lovagethread.supplier.sheet;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/trace/TraceFormat.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/trace/TraceFormat.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.trace;
+package org.lovagethread.supplier.trace;
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/lovagethread-platform/src/main/java/org/lovagethread/platform/trace/package-info.java
+++ b/lovagethread-supplier/src/main/java/org/lovagethread/supplier/trace/package-info.java
@@ -1,2 +1,2 @@
 /** The file form of recorded traces. */
-package org.lovagethread.platform.trace;
+package org.lovagethread.supplier.trace;
--- a/lovagethread-platform/src/test/java/org/lovagethread/platform/objects/ConfigurationStoreTest.java
+++ b/lovagethread-supplier/src/test/java/org/lovagethread/supplier/objects/ConfigurationStoreTest.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.objects;
+package org.lovagethread.supplier.objects;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -16,11 +16,11 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.lovagethread.platform.objects.ConfigurationStore.ApplyResult;
-import org.lovagethread.platform.objects.ConfigurationStore.ApplyStatus;
-import org.lovagethread.platform.objects.ConfigurationStore.StoredRoot;
 import org.lovagethread.standins.ObjectApi;
 import org.lovagethread.standins.StandInServer;
+import org.lovagethread.supplier.objects.ConfigurationStore.ApplyResult;
+import org.lovagethread.supplier.objects.ConfigurationStore.ApplyStatus;
+import org.lovagethread.supplier.objects.ConfigurationStore.StoredRoot;
 
 /** Tests {@link ConfigurationStore} against the stand-in for the Object API. */
 class ConfigurationStoreTest {
--- a/lovagethread-platform/src/test/java/org/lovagethread/platform/settings/SettingsReaderTest.java
+++ b/lovagethread-supplier/src/test/java/org/lovagethread/supplier/settings/SettingsReaderTest.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.settings;
+package org.lovagethread.supplier.settings;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
--- a/lovagethread-platform/src/test/java/org/lovagethread/platform/sheet/SheetParserTest.java
+++ b/lovagethread-supplier/src/test/java/org/lovagethread/supplier/sheet/SheetParserTest.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.sheet;
+package org.lovagethread.supplier.sheet;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
--- a/lovagethread-platform/src/test/java/org/lovagethread/platform/trace/TraceFormatTest.java
+++ b/lovagethread-supplier/src/test/java/org/lovagethread/supplier/trace/TraceFormatTest.java
@@ -1,4 +1,4 @@
-package org.lovagethread.platform.trace;
+package org.lovagethread.supplier.trace;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
--- a/lovagethread-wire/generate.sh
+++ b/lovagethread-wire/generate.sh
@@ -6,4 +6,4 @@
 mvn -B -q dependency:copy -Dartifact=com.google.protobuf:protoc:$version:exe:linux-x86_64 -DoutputDirectory=target
 protoc="target/protoc-$version-linux-x86_64.exe"
 chmod +x "$protoc"
-"$protoc" --java_out=src/main/java --proto_path=src/main/proto src/main/proto/peer.proto
+"$protoc" --java_out=src/main/java --proto_path=src/main/proto src/main/proto/peer.proto src/main/proto/gateway.proto
