Order instances: reclaimable ones where they are cheaper, others for what is missing

Change: FleetPlanner (pure) and FleetManager under the duty lease; need by slots and by prompt tokens, highest of 12 s, never under 0.45 of the fleet at the start.

--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
@@ -0,0 +1,151 @@
+package org.lovagethread.gateway.duty;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.lovagethread.gateway.config.GatewayConfiguration;
+import org.lovagethread.gateway.config.ServiceSpec;
+import org.lovagethread.gateway.duty.DutyApi.FleetOrder;
+import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.policy.FleetPlanner;
+import org.lovagethread.gateway.policy.FleetPlanner.ZoneFleet;
+import org.lovagethread.gateway.upstream.Upstream;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.gateway.upstream.UpstreamTable;
+
+/** Orders instances of services while this gateway holds the lease. */
+public final class FleetManager {
+    /** Time for which the highest need seen is planned for, in milliseconds. */
+    private static final long PEAK_MILLIS = 12_000;
+
+    /** Time after which a refused order is given again, in milliseconds. */
+    private static final long REFUSED_MILLIS = 2_000;
+
+    /** Time after which an order without an answer is given again, in milliseconds. */
+    private static final long UNKNOWN_MILLIS = 500;
+
+    private final DutyApi api;
+    private final UpstreamTable upstreams;
+    private final FleetPlanner planner = new FleetPlanner();
+    private final LongSupplier steady;
+    private final Supplier<OptionalLong> fence;
+    private final EventLog log;
+    private final Map<Subject, Integer> accepted = new HashMap<>();
+    private final Map<Subject, Long> nextTryMillis = new HashMap<>();
+    private final Map<String, Peak> peaks = new HashMap<>();
+    private final Map<String, Integer> firstFleet = new HashMap<>();
+    private OptionalLong term = OptionalLong.empty();
+
+    /** What an order is about. */
+    private record Subject(String service, String zone, boolean reclaimable) {}
+
+    private record Peak(int needed, long deadlineMillis) {}
+
+    /**
+     * Creates a manager.
+     *
+     * @param api takes the orders
+     * @param upstreams the instances at work
+     * @param steady a clock that never jumps, in milliseconds
+     * @param fence the fencing number while a call may be started
+     * @param log takes a line for each order
+     */
+    public FleetManager(
+            DutyApi api, UpstreamTable upstreams, LongSupplier steady, Supplier<OptionalLong> fence, EventLog log) {
+        this.api = api;
+        this.upstreams = upstreams;
+        this.steady = steady;
+        this.fence = fence;
+        this.log = log;
+    }
+
+    /**
+     * Gives the orders that are due.
+     *
+     * @param configuration the configuration in force
+     * @param tokensPerSecond the tokens that requests bring and ask for, over all gateways
+     */
+    public void tick(GatewayConfiguration configuration, double tokensPerSecond) {
+        long now = steady.getAsLong();
+        List<FleetOrder> plan = new ArrayList<>();
+        for (ServiceSpec service : configuration.services().values()) {
+            if (service.fleet().isPresent() && service.engine().isPresent()) {
+                plan.addAll(plan(service, tokensPerSecond, now));
+            }
+        }
+        OptionalLong number = fence.get();
+        if (number.isEmpty()) {
+            return;
+        }
+        if (!number.equals(term)) {
+            term = number;
+            accepted.clear();
+            nextTryMillis.clear();
+        }
+        plan.forEach(order -> give(order, number.getAsLong(), now));
+    }
+
+    private List<FleetOrder> plan(ServiceSpec service, double tokensPerSecond, long nowMillis) {
+        double inFlight = 0;
+        Map<String, ZoneFleet> zones = new HashMap<>();
+        for (String zone : service.fleet().orElseThrow().zonePrices().keySet()) {
+            zones.put(zone, new ZoneFleet(zone, 0, 0));
+        }
+        for (Upstream upstream : upstreams.available(service.name())) {
+            UpstreamEntry entry = upstream.entry();
+            inFlight += upstream.load().total(nowMillis).inFlight();
+            zones.computeIfPresent(
+                    entry.zone(),
+                    (zone, fleet) -> new ZoneFleet(
+                            zone,
+                            fleet.reclaimable() + (entry.reclaimable() ? 1 : 0),
+                            fleet.steady() + (entry.reclaimable() ? 0 : 1)));
+        }
+        int atWork = zones.values().stream()
+                .mapToInt(fleet -> fleet.reclaimable() + fleet.steady())
+                .sum();
+        if (atWork > 0) {
+            firstFleet.putIfAbsent(service.name(), atWork);
+        }
+        int declared = firstFleet.getOrDefault(service.name(), 0);
+        int present = Math.max(
+                planner.floor(declared),
+                planner.needed(service.engine().orElseThrow(), new FleetPlanner.Load(inFlight, tokensPerSecond)));
+        Peak peak = peaks.get(service.name());
+        if (peak == null || present >= peak.needed() || nowMillis >= peak.deadlineMillis()) {
+            peak = new Peak(present, nowMillis + PEAK_MILLIS);
+            peaks.put(service.name(), peak);
+        }
+        return planner.plan(service, List.copyOf(zones.values()), peak.needed());
+    }
+
+    private void give(FleetOrder order, long number, long nowMillis) {
+        Subject subject = new Subject(order.service(), order.zone(), order.reclaimable());
+        boolean known = accepted.getOrDefault(subject, -1) == order.count();
+        if (known || nextTryMillis.getOrDefault(subject, 0L) > nowMillis) {
+            return;
+        }
+        nextTryMillis.put(subject, nowMillis + REFUSED_MILLIS);
+        api.order(number, order, outcome -> ordered(subject, order, outcome));
+    }
+
+    private void ordered(Subject subject, FleetOrder order, DutyApi.Outcome outcome) {
+        log.add(log.line("fleet-order")
+                .put("service", order.service())
+                .put("zone", order.zone())
+                .put("count", order.count())
+                .put("reclaimable", order.reclaimable())
+                .put("outcome", outcome.name()));
+        if (outcome == DutyApi.Outcome.ACCEPTED) {
+            accepted.put(subject, order.count());
+            nextTryMillis.remove(subject);
+        } else {
+            long pause = outcome == DutyApi.Outcome.REFUSED ? REFUSED_MILLIS : UNKNOWN_MILLIS;
+            nextTryMillis.put(subject, steady.getAsLong() + pause);
+        }
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -21,6 +21,7 @@
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.duty.DutyLease;
+import org.lovagethread.gateway.duty.FleetManager;
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.duty.UsageReporter;
 import org.lovagethread.gateway.log.EventLog;
@@ -64,6 +65,7 @@
     private final StateSync sync;
     private final DutyLease lease;
     private final UsageReporter reporter;
+    private final FleetManager fleet;
     private final NettyUpstreamClient client;
     private final FrontServer front;
     private final PeerExchange exchange;
@@ -100,6 +102,7 @@
                 this::nowMillis,
                 lease::fence,
                 log);
+        this.fleet = new FleetManager(ports.duties(), upstreams, this::nowMillis, lease::fence, log);
         this.client = new NettyUpstreamClient(loop, ports.callers(), this::nowMillis);
         this.front = new FrontServer(this, new Intake(ports.callers(), quota, Math::random));
         this.exchange = new PeerExchange(this, http);
@@ -179,6 +182,7 @@
         if (ticks % 5 == 0) {
             lease.tick(sync.complete() && !front.draining() && exchange.eldest(nowMillis));
             reporter.tick();
+            configuration().ifPresent(inForce -> fleet.tick(inForce, quota.tokensPerSecond(nowMillis)));
         }
         if (ticks % 25 == 0) {
             client.tick(nowMillis);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -231,7 +231,8 @@
             UpstreamLoad.Work work = uses.getOrDefault(upstream.entry().id(), UpstreamLoad.Work.NONE);
             upstream.load().heard(state.getNode(), work, now);
         }
-        state.getCustomersList().forEach(use -> gateway.quota().heard(process, use.getCustomer(), use.getTokens()));
+        state.getCustomersList()
+                .forEach(use -> gateway.quota().heard(process, use.getCustomer(), use.getTokens(), now));
         state.getWindowsList().forEach(count -> gateway.usage()
                 .heard(process, count.getWindow(), count.getCustomer(), count.getRequests()));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/TokenQuota.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/TokenQuota.java
@@ -14,6 +14,7 @@
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final Map<String, Bucket> buckets = new HashMap<>();
+    private final RateMeter granted = new RateMeter();
 
     private static final class Bucket {
         private final Map<String, Long> peerTotals = new HashMap<>();
@@ -36,6 +37,7 @@
         Bucket bucket = buckets.computeIfAbsent(customer.name(), name -> new Bucket());
         if (customer.tokensPerSecond() <= 0) {
             bucket.ownTotal += tokens;
+            granted.add(tokens, nowMillis);
             return true;
         }
         refill(bucket, customer, silentShare, nowMillis);
@@ -44,6 +46,7 @@
         }
         bucket.level -= (double) tokens;
         bucket.ownTotal += tokens;
+        granted.add(tokens, nowMillis);
         return true;
     }
 
@@ -83,15 +86,29 @@
      * @param peer the peer's name and incarnation
      * @param customer the name of the customer
      * @param total the tokens that the peer has granted since its start
+     * @param nowMillis the present time in milliseconds
      */
-    public void heard(String peer, String customer, long total) {
+    public void heard(String peer, String customer, long total, long nowMillis) {
         Bucket bucket = buckets.computeIfAbsent(customer, name -> new Bucket());
         Long previous = bucket.peerTotals.put(peer, total);
+        if (previous != null && total > previous) {
+            granted.add(total - previous, nowMillis);
+        }
         if (previous != null && bucket.started) {
             bucket.level -= Math.max(0, total - previous);
         }
     }
 
+    /**
+     * Returns the tokens granted each second by all gateways.
+     *
+     * @param nowMillis the present time in milliseconds
+     * @return the rate over the last seconds
+     */
+    public double tokensPerSecond(long nowMillis) {
+        return granted.perSecond(nowMillis);
+    }
+
     /**
      * Returns the tokens granted by this gateway since its start.
      *
