--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/LayeringTest.java
@@ -0,0 +1,41 @@
+package org.lovagethread.gateway;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Keeps decisions free of networks and clocks, and the gateway free of the platform. */
+@AnalyzeClasses(packages = "org.lovagethread.gateway", importOptions = ImportOption.DoNotIncludeTests.class)
+class LayeringTest {
+
+    @ArchTest
+    static final ArchRule DECISIONS_KNOW_NO_NETWORK = noClasses()
+            .that()
+            .resideInAnyPackage(
+                    "org.lovagethread.gateway.policy",
+                    "org.lovagethread.gateway.config",
+                    "org.lovagethread.gateway.upstream")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("io.netty..", "java.net..", "org.lovagethread.gateway.http", "org.lovagethread.wire..");
+
+    @ArchTest
+    static final ArchRule DECISIONS_READ_NO_CLOCK = noClasses()
+            .that()
+            .resideInAnyPackage(
+                    "org.lovagethread.gateway.policy",
+                    "org.lovagethread.gateway.upstream",
+                    "org.lovagethread.gateway.duty",
+                    "org.lovagethread.gateway.store")
+            .should()
+            .callMethod(System.class, "currentTimeMillis")
+            .orShould()
+            .callMethod(System.class, "nanoTime");
+
+    @ArchTest
+    static final ArchRule GATEWAY_KNOWS_NO_PLATFORM =
+            noClasses().should().dependOnClassesThat().resideInAPackage("org.lovagethread.platform..");
+}
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EventSplitterTest.java
@@ -0,0 +1,43 @@
+package org.lovagethread.gateway.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+    private final EventSplitter splitter = new EventSplitter();
+    private final List<String> events = new ArrayList<>();
+
+    private void feed(String text) {
+        splitter.feed(
+                Unpooled.copiedBuffer(text, StandardCharsets.UTF_8),
+                (id, event) -> events.add(id + "=" + event.toString(StandardCharsets.UTF_8)));
+    }
+
+    @Test
+    void joinsAnEventThatComesInPieces() {
+        String whole = "id: 7\ndata: abc\n\n";
+        for (int i = 0; i < whole.length(); i++) {
+            feed(whole.substring(i, i + 1));
+        }
+        assertThat(events).containsExactly("7=" + whole);
+        assertThat(splitter.partial()).isFalse();
+    }
+
+    @Test
+    void splitsEventsThatComeTogether() {
+        feed("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda");
+        assertThat(events).containsExactly("1=id: 1\ndata: a\n\n", "2=id: 2\r\ndata: b\r\n\r\n");
+        assertThat(splitter.partial()).isTrue();
+    }
+
+    @Test
+    void takesEventsWithoutANumber() {
+        feed("data: a\n\n");
+        assertThat(events).containsExactly("-1=data: a\n\n");
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/FleetPlannerTest.java
@@ -0,0 +1,82 @@
+package org.lovagethread.gateway.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagethread.gateway.config.ServiceSpec;
+import org.lovagethread.gateway.config.ServiceSpec.EngineSpec;
+import org.lovagethread.gateway.config.ServiceSpec.FleetSpec;
+import org.lovagethread.gateway.duty.DutyApi.FleetOrder;
+import org.lovagethread.gateway.policy.FleetPlanner.Load;
+import org.lovagethread.gateway.policy.FleetPlanner.ZoneFleet;
+
+class FleetPlannerTest {
+    private static final EngineSpec ENGINE = new EngineSpec(48, 900_000);
+
+    private final FleetPlanner planner = new FleetPlanner();
+
+    private static ServiceSpec service(double reclaimablePrice) {
+        FleetSpec fleet =
+                new FleetSpec(1, 6, 4_000, reclaimablePrice, Map.of("dear", 1.25, "cheap", 0.8, "usual", 1.0));
+        return new ServiceSpec("pool", 290, Optional.of(ENGINE), Optional.of(fleet));
+    }
+
+    private static List<ZoneFleet> zones(int reclaimable, int steady) {
+        return List.of(
+                new ZoneFleet("dear", reclaimable, steady),
+                new ZoneFleet("cheap", reclaimable, steady),
+                new ZoneFleet("usual", reclaimable, steady));
+    }
+
+    private static int count(List<FleetOrder> orders, boolean reclaimable) {
+        return orders.stream()
+                .filter(order -> order.reclaimable() == reclaimable)
+                .mapToInt(FleetOrder::count)
+                .sum();
+    }
+
+    @Nested
+    class ReclaimableInstances {
+        @Test
+        void carryTheLoadAlsoWithoutOneZone() {
+            List<FleetOrder> orders = planner.plan(service(0.18), zones(3, 0), 6);
+            int largest = orders.stream()
+                    .filter(FleetOrder::reclaimable)
+                    .mapToInt(FleetOrder::count)
+                    .max()
+                    .orElseThrow();
+            assertThat(count(orders, true) - largest).isGreaterThanOrEqualTo(6);
+            assertThat(count(orders, false)).isZero();
+        }
+
+        @Test
+        void areReplacedByOthersWhileTheyAreMissing() {
+            List<ZoneFleet> left =
+                    List.of(new ZoneFleet("dear", 0, 0), new ZoneFleet("cheap", 0, 0), new ZoneFleet("usual", 3, 0));
+            List<FleetOrder> orders = planner.plan(service(0.18), left, 6);
+            assertThat(count(orders, false)).isEqualTo(3);
+        }
+
+        @Test
+        void areNotOrderedWhereTheyAreNotCheaper() {
+            List<FleetOrder> orders = planner.plan(service(1.0), zones(0, 2), 6);
+            assertThat(count(orders, true)).isZero();
+            assertThat(count(orders, false)).isGreaterThanOrEqualTo(6);
+        }
+    }
+
+    @Nested
+    class Need {
+        @Test
+        void growsWithSlotsAndWithPrompts() {
+            assertThat(planner.needed(ENGINE, new Load(0, 0))).isEqualTo(1);
+            assertThat(planner.needed(ENGINE, new Load(100, 0))).isGreaterThan(planner.needed(ENGINE, new Load(20, 0)));
+            assertThat(planner.needed(ENGINE, new Load(0, 400_000)))
+                    .isGreaterThan(planner.needed(ENGINE, new Load(0, 100_000)));
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/TokenQuotaTest.java
@@ -0,0 +1,89 @@
+package org.lovagethread.gateway.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagethread.gateway.config.Customer;
+
+class TokenQuotaTest {
+    private static final Customer CUSTOMER = new Customer("ice", 1, 100_000, 100_000, 200);
+    private static final long REQUEST_TOKENS = 2_000;
+
+    /** Plays gateways that are asked for more than the quota and hear each other late; returns the tokens granted. */
+    private static long play(int gateways, long millis, long lagMillis, boolean cut) {
+        List<TokenQuota> quotas = new ArrayList<>();
+        for (int i = 0; i < gateways; i++) {
+            quotas.add(new TokenQuota());
+        }
+        double silent = cut ? (gateways - 1.0) / gateways : 0;
+        long granted = 0;
+        for (long now = 0; now < millis; now += 5) {
+            for (TokenQuota quota : quotas) {
+                granted += quota.tryTake(CUSTOMER, REQUEST_TOKENS, silent, now) ? REQUEST_TOKENS : 0;
+            }
+            if (!cut && now % lagMillis == 0) {
+                tellAll(quotas, now);
+            }
+        }
+        return granted;
+    }
+
+    private static void tellAll(List<TokenQuota> quotas, long nowMillis) {
+        Map<Integer, Long> totals = new HashMap<>();
+        for (int i = 0; i < quotas.size(); i++) {
+            totals.put(i, quotas.get(i).totals().getOrDefault(CUSTOMER.name(), 0L));
+        }
+        for (int i = 0; i < quotas.size(); i++) {
+            for (int k = 0; k < quotas.size(); k++) {
+                if (i != k) {
+                    quotas.get(i).heard("peer-" + k, CUSTOMER.name(), totals.get(k), nowMillis);
+                }
+            }
+        }
+    }
+
+    @Nested
+    class HotCustomer {
+        @Test
+        void getsItsRateOverAllGatewaysAndLittleMore() {
+            long granted = play(6, 20_000, 150, false);
+            assertThat(granted).isBetween(1_900_000L, 2_600_000L);
+        }
+
+        @Test
+        void isBoundWhileGatewaysCannotHearEachOther() {
+            long granted = play(6, 20_000, 150, true);
+            assertThat(granted).isLessThan(2_000_000L + 6 * 100_000L + 1);
+        }
+    }
+
+    @Nested
+    class Refusing {
+        @Test
+        void tellsWhenTheBucketHoldsEnough() {
+            TokenQuota quota = new TokenQuota();
+            assertThat(quota.tryTake(CUSTOMER, 100_000, 0, 0)).isTrue();
+            assertThat(quota.tryTake(CUSTOMER, 50_000, 0, 0)).isFalse();
+            assertThat(quota.waitMillis(CUSTOMER, 50_000)).isEqualTo(500);
+        }
+
+        @Test
+        void givesBackWhatDidNotRun() {
+            TokenQuota quota = new TokenQuota();
+            quota.tryTake(CUSTOMER, 100_000, 0, 0);
+            quota.refund("ice", 100_000);
+            assertThat(quota.tryTake(CUSTOMER, 100_000, 0, 0)).isTrue();
+        }
+
+        @Test
+        void neverHappensWithoutALimit() {
+            Customer unlimited = new Customer("pond", 1, 0, 0, 200);
+            assertThat(new TokenQuota().tryTake(unlimited, 1_000_000_000, 0, 0)).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
@@ -0,0 +1,101 @@
+package org.lovagethread.gateway.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.lovagethread.gateway.store.StoreReply.Status;
+
+/** Keeps objects in memory; writes can be lost, and replies can be held back. */
+public final class FakeStore implements ObjectStore {
+    private final Map<String, StoredObject> objects = new HashMap<>();
+    private final List<Runnable> held = new ArrayList<>();
+    private long revision = 1;
+    private boolean away;
+    private boolean losesAnswers;
+    private boolean holds;
+
+    /** Makes every call fail, or work again. */
+    public void away(boolean value) {
+        away = value;
+    }
+
+    /** Makes writes take effect without an answer, or answers come again. */
+    public void losesAnswers(boolean value) {
+        losesAnswers = value;
+    }
+
+    /** Holds replies back, or delivers those that were held and all later ones. */
+    public void holds(boolean value) {
+        holds = value;
+        if (!value) {
+            List<Runnable> due = new ArrayList<>(held);
+            held.clear();
+            due.forEach(Runnable::run);
+        }
+    }
+
+    @Override
+    public void list(ObjectKind kind, String afterName, Consumer<StoreReply<Page>> reply) {
+        reply.accept(StoreReply.of(Status.REJECTED));
+    }
+
+    @Override
+    public void watch(ObjectKind kind, long since, long waitMillis, Consumer<StoreReply<Changes>> reply) {
+        reply.accept(StoreReply.of(Status.REJECTED));
+    }
+
+    @Override
+    public void read(ObjectKind kind, String name, Consumer<StoreReply<StoredObject>> reply) {
+        StoredObject object = objects.get(kind + name);
+        answer(reply, object == null ? StoreReply.of(Status.MISSING) : StoreReply.of(Status.OK, object), false);
+    }
+
+    @Override
+    public void create(ObjectKind kind, String name, JsonNode content, Consumer<StoreReply<StoredObject>> reply) {
+        StoredObject known = objects.get(kind + name);
+        if (known != null || away) {
+            answer(reply, StoreReply.of(Status.CONFLICT, known), false);
+        } else {
+            answer(reply, StoreReply.of(Status.OK, put(kind, name, content)), true);
+        }
+    }
+
+    @Override
+    public void replace(
+            ObjectKind kind, StoredObject expected, JsonNode content, Consumer<StoreReply<StoredObject>> reply) {
+        StoredObject known = objects.get(kind + expected.name());
+        if (away || known == null || known.revision() != expected.revision()) {
+            answer(reply, StoreReply.of(Status.CONFLICT, known), false);
+        } else {
+            answer(reply, StoreReply.of(Status.OK, put(kind, expected.name(), content)), true);
+        }
+    }
+
+    @Override
+    public void remove(ObjectKind kind, String name, Consumer<StoreReply<StoredObject>> reply) {
+        objects.remove(kind + name);
+        answer(reply, StoreReply.of(Status.OK), true);
+    }
+
+    private StoredObject put(ObjectKind kind, String name, JsonNode content) {
+        revision++;
+        StoredObject object = new StoredObject(name, revision, content.deepCopy());
+        objects.put(kind + name, object);
+        return object;
+    }
+
+    private void answer(Consumer<StoreReply<StoredObject>> reply, StoreReply<StoredObject> value, boolean write) {
+        if (away) {
+            reply.accept(StoreReply.of(Status.NO_ANSWER));
+        } else if (write && losesAnswers) {
+            reply.accept(StoreReply.of(Status.NO_ANSWER));
+        } else if (holds) {
+            held.add(() -> reply.accept(value));
+        } else {
+            reply.accept(value);
+        }
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/upstream/UpstreamTableTest.java
@@ -0,0 +1,85 @@
+package org.lovagethread.gateway.upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class UpstreamTableTest {
+    private static final long NEVER = -1_000_000;
+
+    private final UpstreamTable table = new UpstreamTable();
+
+    private static UpstreamEntry entry(String id, boolean leaving, long started) {
+        return new UpstreamEntry(id, "pool", "10.0.0.1", 80, "a", 4, leaving, false, started);
+    }
+
+    @Nested
+    class Leaving {
+        @Test
+        void endsNewRequests() {
+            table.put(entry("i-1", false, 1), 0);
+            table.put(entry("i-1", true, 1), 10);
+            assertThat(table.available("pool")).isEmpty();
+        }
+
+        @Test
+        void isNotTakenBackByAnOlderWord() {
+            table.put(entry("i-1", true, 1), 0);
+            table.put(entry("i-1", false, 1), 10);
+            assertThat(table.available("pool")).isEmpty();
+        }
+
+        @Test
+        void endsWhenTheProcessStartsAnew() {
+            table.put(entry("i-1", true, 1), 0);
+            table.put(entry("i-1", false, 2), 10);
+            assertThat(table.available("pool")).hasSize(1);
+        }
+
+        @Test
+        void isLearnedFromPeers() {
+            UpstreamTable peer = new UpstreamTable();
+            peer.put(entry("i-1", true, 1), 0);
+            table.put(entry("i-1", false, 1), 0);
+            peer.leavingMarks().forEach(mark -> table.leaving(mark, 5));
+            assertThat(table.available("pool")).isEmpty();
+        }
+
+        @Test
+        void isLearnedFromPeersBeforeTheEntry() {
+            table.leaving("i-1@1", 5);
+            table.put(entry("i-1", false, 1), 10);
+            assertThat(table.available("pool")).isEmpty();
+        }
+    }
+
+    @Nested
+    class Removal {
+        @Test
+        void takesEffectAtOnceWhileTheStoreIsWell() {
+            table.put(entry("i-1", false, 1), 0);
+            assertThat(table.remove("i-1", NEVER, 10)).isTrue();
+            assertThat(table.available("pool")).isEmpty();
+        }
+
+        @Test
+        void waitsForEntriesThatComeBackAfterAnOutage() {
+            table.put(entry("i-1", false, 1), 0);
+            assertThat(table.remove("i-1", 5_000, 5_100)).isFalse();
+            assertThat(table.available("pool")).hasSize(1);
+            table.put(entry("i-1", false, 1), 6_000);
+            assertThat(table.expire(8_000)).isEmpty();
+            assertThat(table.available("pool")).hasSize(1);
+        }
+
+        @Test
+        void takesEffectWhenAnEntryDoesNotComeBack() {
+            table.put(entry("i-1", false, 1), 0);
+            table.replaceAll(List.of(), 5_000, 5_100);
+            assertThat(table.expire(7_000)).containsExactly("i-1");
+            assertThat(table.available("pool")).isEmpty();
+        }
+    }
+}
