--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
@@ -22,6 +22,9 @@
     /** Time for which the highest need seen is planned for, in milliseconds. */
     private static final long PEAK_MILLIS = 12_000;
 
+    /** Time after the start in which the fleet at work becomes known and nothing is ordered, in milliseconds. */
+    private static final long LEARNING_MILLIS = 2_500;
+
     /** Time after which a refused order is given again, in milliseconds. */
     private static final long REFUSED_MILLIS = 2_000;
 
@@ -78,7 +81,7 @@
             }
         }
         OptionalLong number = fence.get();
-        if (number.isEmpty()) {
+        if (number.isEmpty() || now < LEARNING_MILLIS) {
             return;
         }
         if (!number.equals(term)) {
@@ -108,8 +111,8 @@
         int atWork = zones.values().stream()
                 .mapToInt(fleet -> fleet.reclaimable() + fleet.steady())
                 .sum();
-        if (atWork > 0) {
-            firstFleet.putIfAbsent(service.name(), atWork);
+        if (nowMillis < LEARNING_MILLIS) {
+            firstFleet.merge(service.name(), atWork, Math::max);
         }
         int declared = firstFleet.getOrDefault(service.name(), 0);
         int present = Math.max(
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Admission.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Admission.java
@@ -6,7 +6,8 @@
  * Decides which requests are refused at once and when their callers should come back.
  *
  * <p>The load that this answers is a burst that fills all engines: a request whose first event is predicted for later
- * than its caller waits would only lengthen the queue of others.
+ * than its caller waits would only lengthen the queue of others. Less urgent requests are refused earlier, so that the room which is left
+ * goes to the more urgent ones.
  */
 public final class Admission {
     /** Times the target for which callers of streams wait for an event. */
@@ -18,8 +19,8 @@
     /** Time for which callers of streams wait for an event at least, in milliseconds. */
     private static final long LEAST_PATIENCE_MILLIS = 2_000;
 
-    /** Part of the caller's patience up to which a prediction is trusted to be met. */
-    private static final double TRUSTED_SHARE = 0.9;
+    /** Part of the caller's patience up to which a prediction is trusted to be met, by the rank of the route. */
+    private static final double[] TRUSTED_SHARES = {0.9, 0.7, 0.45};
 
     /** Pause that is asked for when nothing is known of the backlog, in milliseconds. */
     private static final long IDLE_RETRY_MILLIS = 400;
@@ -39,7 +40,8 @@
         if (!route.streaming()) {
             return choice.waitMillis() < remainingMillis;
         }
-        return choice.waitMillis() < TRUSTED_SHARE * Math.min(remainingMillis, patienceMillis(route));
+        double share = TRUSTED_SHARES[Math.min(route.priority(), TRUSTED_SHARES.length - 1)];
+        return choice.waitMillis() < share * Math.min(remainingMillis, patienceMillis(route));
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
@@ -19,11 +19,14 @@
     private static final double PLANNED_SLOT_SHARE = 0.30;
 
     /** Share of an engine's time that is spent on reading prompts at the planned load. */
-    private static final double PLANNED_READ_SHARE = 0.40;
+    private static final double PLANNED_READ_SHARE = 0.60;
 
     /** Share of the fleet at the start that is kept at any load. */
     private static final double FLOOR_SHARE = 0.45;
 
+    /** Share of the needed instances that is left if one more zone's reclaimable instances are taken away. */
+    private static final double SURVIVING_SHARE = 0.6;
+
     /** Price of a reclaimable instance, relative to others, from which on none is ordered. */
     private static final double WORTHLESS_PRICE = 0.8;
 
@@ -83,23 +86,33 @@
         boolean reclaimableWorth = fleet.reclaimablePrice() > 0 && fleet.reclaimablePrice() < WORTHLESS_PRICE;
         int survivors = Math.max(1, zones.size() - 1);
         int reclaimableEach = reclaimableWorth ? limited(ceilDiv(needed, survivors), fleet) : 0;
-        int ready = zones.stream().mapToInt(ZoneFleet::reclaimable).sum();
-        int missing = Math.max(0, needed - ready);
+        int missing = reclaimableWorth ? missing(zones, needed) : needed;
         List<FleetOrder> orders = new ArrayList<>();
+        int left = zones.size();
         for (ZoneFleet zone : cheapestFirst(zones, fleet)) {
-            int room = Math.max(0, fleet.most() - reclaimableEach);
-            int share =
-                    reclaimableWorth ? ceilDiv(missing, zones.size()) : limited(ceilDiv(needed, zones.size()), fleet);
-            int steady = Math.min(room, Math.min(missing, share));
-            missing -= steady;
+            int steady = Math.min(fleet.most() - Math.min(fleet.most(), zone.reclaimable()), ceilDiv(missing, left));
+            if (!reclaimableWorth) {
+                steady = limited(steady, fleet);
+            }
+            missing = Math.max(0, missing - steady);
+            left--;
             orders.add(new FleetOrder(service.name(), zone.zone(), steady, false));
             if (reclaimableWorth) {
-                orders.add(new FleetOrder(service.name(), zone.zone(), reclaimableEach, true));
+                int reclaimable = Math.min(reclaimableEach, fleet.most() - steady);
+                orders.add(new FleetOrder(service.name(), zone.zone(), reclaimable, true));
             }
         }
         return orders;
     }
 
+    /** Returns the instances that are missing now, or would be if the next zone's reclaimable ones were taken away. */
+    private static int missing(List<ZoneFleet> zones, int needed) {
+        int ready = zones.stream().mapToInt(ZoneFleet::reclaimable).sum();
+        int largest = zones.stream().mapToInt(ZoneFleet::reclaimable).max().orElse(0);
+        int afterLoss = (int) Math.ceil(needed * SURVIVING_SHARE) - (ready - largest);
+        return Math.max(0, Math.max(needed - ready, afterLoss));
+    }
+
     private static List<ZoneFleet> cheapestFirst(List<ZoneFleet> zones, FleetSpec fleet) {
         List<ZoneFleet> sorted = new ArrayList<>(zones);
         sorted.sort((one, other) -> Double.compare(price(one, fleet), price(other, fleet)));
