Record a class archive in the build from a rehearsal of the real path

Change: Rehearsal runs a node against a small platform on loopback, serves 300 requests and fails the build if it does not; its classes go into an archive that the deploy file uses. A missing archive fails the build.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,9 +8,15 @@
 mkdir -p "$out/lib"
 cp lovagethread-node/target/lovagethread-node-*.jar lovagethread-node/target/lib/*.jar "$out/lib/"
 class_path="$(find "$out/lib" -name '*.jar' | sort | paste -sd: -)"
-{
-    echo "-Xms48m -Xmx160m -Xmn24m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
-    echo "-XX:MaxDirectMemorySize=96m -XX:-UsePerfData -Xshare:auto"
-    echo "-Djava.net.preferIPv4Stack=true -Dio.netty.allocator.type=unpooled -Dio.netty.noUnsafe=false"
-    echo "-cp $class_path"
-} > "$out/node.args"
+archive="$out/node.jsa"
+flags="-Xms48m -Xmx160m -Xmn24m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1
+-XX:MaxDirectMemorySize=96m -XX:-UsePerfData -Djava.net.preferIPv4Stack=true
+-Dio.netty.allocator.type=unpooled -Dio.netty.noUnsafe=false -Dio.netty.machineId=00:00:00:00:00:00:00:01
+-cp $class_path"
+
+# Records the classes that a serving node loads, so that a restarted node serves sooner.
+# shellcheck disable=SC2086
+java -XX:ArchiveClassesAtExit="$archive" $flags org.lovagethread.platform.Rehearsal $((20000 + $$ % 20000)) > "$out/rehearsal.log" 2>&1 ||
+    { tail -n 20 "$out/rehearsal.log" >&2; exit 1; }
+test -s "$archive" || { echo "the class archive was not written" >&2; exit 1; }
+printf '%s\n' "-XX:SharedArchiveFile=$archive" "-Xshare:auto" "$flags" > "$out/node.args"
--- a/lovagethread-node/src/main/java/org/lovagethread/node/NodeMain.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/NodeMain.java
@@ -49,7 +49,7 @@
         Optional<Path> platformSettings = PlatformNode.settingsPath();
         if (args.length == 0 && platformSettings.isPresent()) {
             PlatformNode.run(platformSettings.get());
-            return;
+            Runtime.getRuntime().halt(0);
         }
         CommandLine line = parse(args);
         if (line.hasOption("help")) {
