Divide many gateways into cells by availability zone

Cause: each gateway told its state to all others seven times a second: at 72 gateways about 500 datagrams a second each way, on links of 7 Mbit/s, and every gateway kept watches at the store. Ruled out: slower sends to far zones: with words of 2.5 s of age a hot customer gets several times its quota. Change: beyond 12 gateways each hears only its zone; the strongest ready one of a zone speaks for it: it exchanges summaries (work, tokens, windows, versions) with the other speakers and relays them, and keeps the store's watches, which members take up when it is silent or loses the store. Registrations of gateways that are gone are removed.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param directory the address at which callers ask where to connect
  * @param peerPort the port for other gateways, on UDP for state and on TCP for snapshots
  * @param metrics the address for metrics
+ * @param capacity the relative strength of the instance
  * @param seeds IP addresses of gateways that are told at the start
  * @param bounds figures that the operators promise
  */
@@ -29,6 +30,7 @@
         InetSocketAddress directory,
         int peerPort,
         InetSocketAddress metrics,
+        int capacity,
         List<String> seeds,
         Bounds bounds) {
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageLedger.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageLedger.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.LongSupplier;
 
 /**
@@ -100,6 +101,32 @@
         return total;
     }
 
+    /**
+     * Returns the counts of the newest windows without those of peers whose names begin with a prefix.
+     *
+     * @param windows the number of windows
+     * @param prefix the prefix
+     * @return counts by window and customer
+     */
+    public Map<Long, Map<String, Long>> newest(int windows, String prefix) {
+        TreeSet<Long> known = new TreeSet<>(own.keySet());
+        known.addAll(peers.keySet());
+        Map<Long, Map<String, Long>> newest = new HashMap<>();
+        for (Long window : known.descendingSet()) {
+            if (newest.size() == windows) {
+                break;
+            }
+            Map<String, Long> counts = new HashMap<>(own.getOrDefault(window, Map.of()));
+            peers.getOrDefault(window, Map.of()).forEach((key, requests) -> {
+                if (!key.peer().startsWith(prefix)) {
+                    counts.merge(key.customer(), requests, Long::sum);
+                }
+            });
+            newest.put(window, counts);
+        }
+        return newest;
+    }
+
     private static void trim(NavigableMap<Long, ?> windows) {
         while (windows.size() > KEPT_WINDOWS) {
             windows.pollFirstEntry();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -37,6 +38,7 @@
 import org.lovagethread.gateway.store.Scheduler;
 import org.lovagethread.gateway.store.StateSync;
 import org.lovagethread.gateway.upstream.UpstreamTable;
+import org.lovagethread.wire.generated.GatewayDatagram;
 
 /** One gateway: accepts requests, passes them on, and keeps its state in step with the store and its peers. */
 public final class Gateway implements RequestContext, Scheduler, DutyLease.Clocks {
@@ -87,7 +89,7 @@
         GatewaySettings.Bounds bounds = settings.bounds();
         Zones zones = new Zones(settings.zone(), settings.regionByZone());
         this.addresses = new AddressPolicy(zones);
-        this.peers = new PeerTable(settings.host());
+        this.peers = new PeerTable(settings.host(), settings.zone(), settings.capacity());
         this.placement = new Placement(zones);
         this.retries = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindowMillis());
         this.usage = new UsageLedger(bounds.usageWindowMillis(), this::trueMillis);
@@ -296,7 +298,12 @@
     }
 
     double silentShare() {
-        return peers.silentShare(nowMillis());
+        long now = nowMillis();
+        return Math.min(1.0, (double) (peers.silent(now) + exchange.silentElsewhere(now)) / peers.size());
+    }
+
+    void sendToPeers(GatewayDatagram datagram, Set<String> hosts) {
+        exchange.send(datagram, hosts);
     }
 
     private long trueMillis() {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -16,20 +16,25 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.peer.PeerLink;
+import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.peer.PeerTable.Peer;
 import org.lovagethread.gateway.policy.AddressPolicy.Entrance;
 import org.lovagethread.gateway.store.KindWatcher;
 import org.lovagethread.gateway.store.ObjectKind;
 import org.lovagethread.gateway.store.ObjectStore;
+import org.lovagethread.gateway.store.StateSync;
 import org.lovagethread.gateway.store.StoreReply;
 import org.lovagethread.gateway.store.StoredObject;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
+import org.lovagethread.wire.generated.CellState;
 import org.lovagethread.wire.generated.CustomerUse;
+import org.lovagethread.wire.generated.GatewayDatagram;
 import org.lovagethread.wire.generated.GatewayState;
 import org.lovagethread.wire.generated.UpstreamUse;
 import org.lovagethread.wire.generated.WindowCount;
@@ -58,10 +63,14 @@
     private static final long WATCH_MILLIS = 15_000;
     private static final long REGISTER_RETRY_MILLIS = 500;
     private static final String HOST = "host";
+    private static final String ZONE = "zone";
+    private static final String CAPACITY = "capacity";
 
     private final Gateway gateway;
     private final HttpCaller http;
+    private final CellExchange cells;
     private final Map<String, Long> laggingSince = new HashMap<>();
+    private final Map<String, String> registered = new HashMap<>();
     private PeerLink link;
     private long sequence;
     private long nextTellMillis;
@@ -70,6 +79,7 @@
     PeerExchange(Gateway gateway, HttpCaller http) {
         this.gateway = gateway;
         this.http = http;
+        this.cells = new CellExchange(gateway, gateway.settings().zone());
     }
 
     void open(EventLoop loop) throws InterruptedException {
@@ -96,7 +106,7 @@
 
     void start() {
         long now = gateway.nowMillis();
-        gateway.settings().seeds().forEach(host -> gateway.peers().candidate(host, now));
+        gateway.settings().seeds().forEach(host -> gateway.peers().add(new PeerTable.Place(host, "", 0, now)));
         new KindWatcher(gateway.ports().store(), ObjectKind.GATEWAYS, WATCH_MILLIS, gateway, new Members()).start();
         register();
     }
@@ -104,10 +114,35 @@
     void tick(long nowMillis) {
         if (nowMillis >= nextTellMillis) {
             nextTellMillis = nowMillis + TELL_MILLIS;
-            gateway.peers().expire(nowMillis);
-            link.send(state(nowMillis), gateway.peers().hosts());
+            forget(gateway.peers().expire(nowMillis), nowMillis);
+            GatewayDatagram datagram =
+                    GatewayDatagram.newBuilder().setState(state(nowMillis)).build();
+            link.send(datagram, gateway.peers().hosts());
             catchUp(nowMillis);
+            gateway.sync().follow(!cells.followsSpeaker(nowMillis));
         }
+        cells.tick(nowMillis);
+    }
+
+    void send(GatewayDatagram datagram, Set<String> hosts) {
+        link.send(datagram, hosts);
+    }
+
+    /** Returns the number of gateways of other cells that are not heard any more. */
+    int silentElsewhere(long nowMillis) {
+        return cells.silent(nowMillis);
+    }
+
+    /** Removes the registrations of gateways that are gone for good. */
+    private void forget(List<String> hosts, long nowMillis) {
+        if (hosts.isEmpty() || !cells.speaks(nowMillis)) {
+            return;
+        }
+        registered.forEach((name, host) -> {
+            if (hosts.contains(host)) {
+                gateway.ports().store().remove(ObjectKind.GATEWAYS, name, reply -> {});
+            }
+        });
     }
 
     /** Returns the gateways that accept requests, with this one. */
@@ -122,11 +157,15 @@
                 entrances.add(new Entrance(peer.state().getHost(), peer.state().getZone()));
             }
         }
+        entrances.addAll(cells.entrances(nowMillis));
         return entrances;
     }
 
     /** Tells whether no live peer has been running for longer, or holds the lease. */
     boolean eldest(long nowMillis) {
+        if (cells.dutiesElsewhere(nowMillis)) {
+            return false;
+        }
         for (Peer peer : gateway.peers().live(nowMillis)) {
             GatewayState state = peer.state();
             boolean able = state.getReady() && !state.getStopping() && state.getStoreReachable();
@@ -144,6 +183,8 @@
         ObjectStore store = gateway.ports().store();
         ObjectNode content = JsonNodeFactory.instance.objectNode();
         content.put(HOST, gateway.settings().host());
+        content.put(ZONE, gateway.settings().zone());
+        content.put(CAPACITY, gateway.settings().capacity());
         store.create(ObjectKind.GATEWAYS, gateway.settings().node(), content, reply -> {
             boolean other = reply.status() == StoreReply.Status.CONFLICT
                     && reply.value().isPresent()
@@ -173,6 +214,7 @@
                 .setUpstreamsRevision(gateway.sync().upstreamsRevision())
                 .setStoreReachable(gateway.sync().link().reachable())
                 .setLeader(gateway.lease().holds())
+                .setCapacity(gateway.settings().capacity())
                 .addAllLeavingUpstreams(gateway.upstreams().leavingMarks());
         gateway.peers()
                 .live(nowMillis)
@@ -205,11 +247,15 @@
         }
     }
 
-    private void heard(GatewayState state) {
+    private void heard(GatewayDatagram datagram) {
         long now = gateway.nowMillis();
-        if (!gateway.peers().heard(state, now)) {
-            return;
+        cells.heard(datagram.getCellsList(), now);
+        if (datagram.hasState() && gateway.peers().heard(datagram.getState(), now)) {
+            take(datagram.getState(), now);
         }
+    }
+
+    private void take(GatewayState state, long now) {
         String process = state.getNode() + '#' + state.getIncarnation();
         gateway.clock().heard(state.getNode(), state.getWallClockMillis(), now);
         for (String mark : state.getLeavingUpstreamsList()) {
@@ -239,33 +285,39 @@
 
     /** Fetches from peers what this gateway should know and does not. */
     private void catchUp(long nowMillis) {
-        long version =
-                gateway.configuration().map(GatewayConfiguration::version).orElse(-1L);
-        long revision = gateway.sync().upstreamsRevision();
-        boolean away = gateway.sync().link().awayMillis(nowMillis) > STORE_AWAY_MILLIS;
         for (Peer peer : gateway.peers().live(nowMillis)) {
             GatewayState state = peer.state();
-            String host = state.getHost();
-            boolean configurationLags = state.getConfigurationVersion() > version;
-            boolean upstreamsLag = state.getUpstreamsRevision() > revision;
-            if (!configurationLags && !upstreamsLag) {
-                laggingSince.remove(host);
-                continue;
-            }
-            long since = laggingSince.computeIfAbsent(host, key -> nowMillis);
-            if (nowMillis - since < LAG_MILLIS || nowMillis < nextFetchMillis) {
-                continue;
-            }
-            nextFetchMillis = nowMillis + FETCH_MILLIS;
-            if (configurationLags) {
-                fetch(host, CONFIGURATION_URI, bytes -> gateway.sync().offerConfiguration(bytes, state.getNode()));
-                gateway.sync().peerHasLaterConfiguration();
-            }
-            if (upstreamsLag && (away || revision < 0)) {
-                fetch(host, UPSTREAMS_URI, bytes -> gateway.sync().offerUpstreams(bytes, state.getNode()));
-            } else if (upstreamsLag) {
-                gateway.sync().peerSaw(state.getUpstreamsRevision());
-            }
+            catchUp(state.getHost(), state.getConfigurationVersion(), state.getUpstreamsRevision(), nowMillis);
+        }
+        for (CellState state : cells.live(nowMillis)) {
+            catchUp(state.getSpeakerHost(), state.getConfigurationVersion(), state.getUpstreamsRevision(), nowMillis);
+        }
+    }
+
+    private void catchUp(String host, long peerVersion, long peerRevision, long nowMillis) {
+        StateSync sync = gateway.sync();
+        boolean configurationLags = peerVersion
+                > gateway.configuration().map(GatewayConfiguration::version).orElse(-1L);
+        boolean upstreamsLag = peerRevision > sync.upstreamsRevision();
+        if (!configurationLags && !upstreamsLag) {
+            laggingSince.remove(host);
+            return;
+        }
+        long since = laggingSince.computeIfAbsent(host, key -> nowMillis);
+        boolean patient = sync.follows() && nowMillis - since < LAG_MILLIS;
+        if (patient || nowMillis < nextFetchMillis) {
+            return;
+        }
+        nextFetchMillis = nowMillis + FETCH_MILLIS;
+        if (configurationLags) {
+            fetch(host, CONFIGURATION_URI, bytes -> sync.offerConfiguration(bytes, host));
+            sync.peerHasLaterConfiguration();
+        }
+        boolean away = !sync.follows() || sync.link().awayMillis(nowMillis) > STORE_AWAY_MILLIS;
+        if (upstreamsLag && (away || sync.upstreamsRevision() < 0)) {
+            fetch(host, UPSTREAMS_URI, bytes -> sync.offerUpstreams(bytes, host));
+        } else if (upstreamsLag) {
+            sync.peerSaw(peerRevision);
         }
     }
 
@@ -292,13 +344,22 @@
     private final class Members implements KindWatcher.Observer {
         @Override
         public void listed(List<StoredObject> objects, long revision) {
-            objects.forEach(object -> gateway.peers().candidate(host(object), gateway.nowMillis()));
+            registered.clear();
+            objects.forEach(this::add);
         }
 
         @Override
         public void changed(ObjectStore.Change change, long revision) {
+            String name = change.object().name();
             if (!change.removed()) {
-                gateway.peers().candidate(host(change.object()), gateway.nowMillis());
+                add(change.object());
+                return;
+            }
+            String host = registered.remove(name);
+            if (name.equals(gateway.settings().node()) && !gateway.front().draining()) {
+                register();
+            } else if (host != null) {
+                gateway.peers().remove(host);
             }
         }
 
@@ -306,5 +367,15 @@
         public void called(boolean answered) {
             gateway.metrics().state("members_watch_answered", answered ? 1 : 0);
         }
+
+        private void add(StoredObject object) {
+            registered.put(object.name(), host(object));
+            gateway.peers()
+                    .add(new PeerTable.Place(
+                            host(object),
+                            object.content().path(ZONE).asText(),
+                            object.content().path(CAPACITY).asInt(),
+                            gateway.nowMillis()));
+        }
     }
 }
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/CellTable.java
@@ -0,0 +1,90 @@
+package org.lovagethread.gateway.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.lovagethread.wire.generated.CellState;
+
+/** Keeps the last summary of each other cell. Used by one thread. */
+public final class CellTable {
+    /** Age from which a cell counts as not heard, in milliseconds. */
+    public static final long SILENT_MILLIS = 2_000;
+
+    private final Map<String, Heard> byZone = new TreeMap<>();
+    private final String selfZone;
+
+    /**
+     * Creates a table.
+     *
+     * @param selfZone the availability zone of this gateway, whose summary is never taken in
+     */
+    public CellTable(String selfZone) {
+        this.selfZone = selfZone;
+    }
+
+    private record Heard(CellState state, long heardMillis) {}
+
+    /**
+     * Takes a summary.
+     *
+     * @param state the summary
+     * @param nowMillis the present time in milliseconds
+     * @return true if it is newer than what was known
+     */
+    public boolean heard(CellState state, long nowMillis) {
+        if (state.getZone().equals(selfZone)) {
+            return false;
+        }
+        Heard known = byZone.get(state.getZone());
+        boolean sameSpeaker = known != null && known.state().getSpeaker().equals(state.getSpeaker());
+        if (sameSpeaker && state.getSequence() <= known.state().getSequence()) {
+            return false;
+        }
+        byZone.put(state.getZone(), new Heard(state, nowMillis));
+        return true;
+    }
+
+    /**
+     * Returns the summaries that were lately heard.
+     *
+     * @param nowMillis the present time in milliseconds
+     * @return summaries in the order of their zones
+     */
+    public List<CellState> live(long nowMillis) {
+        List<CellState> live = new ArrayList<>();
+        for (Heard heard : byZone.values()) {
+            if (nowMillis - heard.heardMillis() < SILENT_MILLIS) {
+                live.add(heard.state());
+            }
+        }
+        return live;
+    }
+
+    /**
+     * Returns the summary of a zone if it was lately heard.
+     *
+     * @param zone the availability zone
+     * @param nowMillis the present time in milliseconds
+     * @return the summary, or empty
+     */
+    public Optional<CellState> find(String zone, long nowMillis) {
+        return Optional.ofNullable(byZone.get(zone))
+                .filter(heard -> nowMillis - heard.heardMillis() < SILENT_MILLIS)
+                .map(Heard::state);
+    }
+
+    /**
+     * Returns the number of gateways in cells that are not heard any more.
+     *
+     * @param nowMillis the present time in milliseconds
+     * @return the number of gateways
+     */
+    public int silent(long nowMillis) {
+        return byZone.values().stream()
+                .filter(heard -> nowMillis - heard.heardMillis() >= SILENT_MILLIS)
+                .mapToInt(heard -> heard.state().getMembers())
+                .sum();
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/PeerLink.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/PeerLink.java
@@ -16,7 +16,7 @@
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.lovagethread.wire.generated.GatewayState;
+import org.lovagethread.wire.generated.GatewayDatagram;
 
 /** Sends and receives the state of gateways in datagrams. */
 public final class PeerLink {
@@ -31,11 +31,12 @@
      * @param loop the thread of the gateway
      * @param host the IP address of this gateway
      * @param port the port that all gateways use
-     * @param listener takes the state of peers
+     * @param listener takes what peers send
      * @param unreadable told when a datagram cannot be read
      * @throws InterruptedException if the thread is interrupted
      */
-    public PeerLink(EventLoop loop, String host, int port, Consumer<GatewayState> listener, Consumer<String> unreadable)
+    public PeerLink(
+            EventLoop loop, String host, int port, Consumer<GatewayDatagram> listener, Consumer<String> unreadable)
             throws InterruptedException {
         this.port = port;
         this.channel = new Bootstrap()
@@ -49,13 +50,13 @@
     }
 
     /**
-     * Sends the state of this gateway.
+     * Sends a datagram.
      *
-     * @param state the state
+     * @param datagram the content
      * @param hosts the IP addresses of the peers
      */
-    public void send(GatewayState state, Set<String> hosts) {
-        byte[] bytes = state.toByteArray();
+    public void send(GatewayDatagram datagram, Set<String> hosts) {
+        byte[] bytes = datagram.toByteArray();
         if (bytes.length > MOST_DATAGRAM_BYTES) {
             throw new IllegalArgumentException("state must fit a datagram but has " + bytes.length + " bytes");
         }
@@ -66,10 +67,10 @@
     }
 
     private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-        private final Consumer<GatewayState> listener;
+        private final Consumer<GatewayDatagram> listener;
         private final Consumer<String> unreadable;
 
-        private Receiver(Consumer<GatewayState> listener, Consumer<String> unreadable) {
+        private Receiver(Consumer<GatewayDatagram> listener, Consumer<String> unreadable) {
             this.listener = listener;
             this.unreadable = unreadable;
         }
@@ -77,7 +78,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) throws IOException {
             try (ByteBufInputStream bytes = new ByteBufInputStream(packet.content())) {
-                listener.accept(GatewayState.parseFrom(bytes));
+                listener.accept(GatewayDatagram.parseFrom(bytes));
             } catch (InvalidProtocolBufferException e) {
                 unreadable.accept(e.getMessage());
             }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/PeerTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/PeerTable.java
@@ -2,16 +2,21 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.lovagethread.wire.generated.GatewayState;
 
-/** Keeps the last word of each other gateway. Used by one thread. */
+/**
+ * Keeps the last word of each other gateway. Used by one thread.
+ *
+ * <p>While there are few gateways, each hears all others. When there are more, each hears only those of its availability
+ * zone, its cell, and learns of other cells by their summaries.
+ */
 public final class PeerTable {
     /** Age from which a peer counts as not heard, in milliseconds. */
     public static final long SILENT_MILLIS = 900;
@@ -19,9 +24,26 @@
     /** Age from which a peer that is not heard counts as gone for good, in milliseconds. */
     public static final long GONE_MILLIS = 25_000;
 
+    /** The most gateways that all hear each other. */
+    public static final int MOST_MESH = 12;
+
+    private static final Comparator<Place> STRONGEST_FIRST =
+            Comparator.comparingInt(Place::capacity).reversed().thenComparing(Place::host);
+
     private final Map<String, Peer> byHost = new LinkedHashMap<>();
-    private final Map<String, Long> candidates = new HashMap<>();
-    private final String selfHost;
+    private final Map<String, Place> places = new LinkedHashMap<>();
+    private final Place self;
+    private boolean celled;
+
+    /**
+     * An instance on which a gateway is registered or was heard of.
+     *
+     * @param host the IP address
+     * @param zone the availability zone; an empty text if unknown
+     * @param capacity the relative strength of the instance
+     * @param sinceMillis when it was first known or last heard, in milliseconds
+     */
+    public record Place(String host, String zone, int capacity, long sinceMillis) {}
 
     /**
      * A peer as it was last heard.
@@ -39,48 +61,62 @@
         public boolean live(long nowMillis) {
             return nowMillis - heardMillis < SILENT_MILLIS;
         }
-
-        /**
-         * Returns the name of the process.
-         *
-         * @return the peer's name with its incarnation
-         */
-        public String process() {
-            return state.getNode() + '#' + state.getIncarnation();
-        }
     }
 
     /**
      * Creates a table.
      *
-     * @param selfHost the IP address of this gateway, which is never a peer
+     * @param host the IP address of this gateway, which is never a peer
+     * @param zone the availability zone of this gateway
+     * @param capacity the relative strength of this instance
      */
-    public PeerTable(String selfHost) {
-        this.selfHost = selfHost;
+    public PeerTable(String host, String zone, int capacity) {
+        this.self = new Place(host, zone, capacity, 0);
     }
 
     /**
-     * Adds an address at which a gateway may be.
+     * Adds an instance on which a gateway may be.
      *
-     * @param host the IP address
-     * @param nowMillis the present time in milliseconds
+     * @param place the instance; one without a zone never replaces one with a zone
      */
-    public void candidate(String host, long nowMillis) {
-        if (!host.equals(selfHost) && !host.isEmpty()) {
-            candidates.put(host, nowMillis);
+    public void add(Place place) {
+        if (place.host().isEmpty() || place.host().equals(self.host())) {
+            return;
+        }
+        Place known = places.get(place.host());
+        if (known == null || !place.zone().isEmpty()) {
+            places.put(place.host(), place);
+            divide();
         }
     }
 
+    /**
+     * Forgets an instance on which no gateway is registered any more.
+     *
+     * @param host the IP address
+     */
+    public void remove(String host) {
+        places.remove(host);
+        byHost.remove(host);
+        divide();
+    }
+
     /**
      * Takes the word of a peer.
      *
      * @param state the word
      * @param nowMillis the present time in milliseconds
-     * @return true if it is newer than what was known
+     * @return true if it is newer than what was known and comes from this gateway's cell
      */
     public boolean heard(GatewayState state, long nowMillis) {
         String host = state.getHost();
-        if (host.equals(selfHost)) {
+        if (host.equals(self.host())) {
+            return false;
+        }
+        add(new Place(host, state.getZone(), state.getCapacity(), nowMillis));
+        state.getHeardHostsList().forEach(other -> add(new Place(other, "", 0, nowMillis)));
+        if (celled() && !state.getZone().equals(self.zone())) {
+            byHost.remove(host);
             return false;
         }
         Peer known = byHost.get(host);
@@ -88,12 +124,6 @@
             return false;
         }
         byHost.put(host, new Peer(state, nowMillis));
-        candidate(host, nowMillis);
-        for (String other : state.getHeardHostsList()) {
-            if (!other.equals(selfHost)) {
-                candidates.putIfAbsent(other, nowMillis);
-            }
-        }
         return true;
     }
 
@@ -101,25 +131,85 @@
      * Forgets peers that have been silent for long.
      *
      * @param nowMillis the present time in milliseconds
+     * @return the IP addresses of those forgotten
      */
-    public void expire(long nowMillis) {
-        byHost.values().removeIf(peer -> nowMillis - peer.heardMillis() > GONE_MILLIS);
-        candidates.values().removeIf(sinceMillis -> nowMillis - sinceMillis > GONE_MILLIS);
+    public List<String> expire(long nowMillis) {
+        List<String> gone = new ArrayList<>();
+        for (Place place : places.values()) {
+            Peer peer = byHost.get(place.host());
+            long heard = peer == null ? place.sinceMillis() : peer.heardMillis();
+            if (inCell(place) && nowMillis - heard > GONE_MILLIS) {
+                gone.add(place.host());
+            }
+        }
+        gone.forEach(this::remove);
+        return gone;
     }
 
     /**
-     * Returns the addresses to which state is sent.
+     * Tells whether there are so many gateways that they are divided into cells.
+     *
+     * @return true if peers of other availability zones are known by summaries only
+     */
+    public boolean celled() {
+        return celled;
+    }
+
+    /**
+     * Returns the addresses to which the state of this gateway is sent.
      *
      * @return IP addresses
      */
     public Set<String> hosts() {
-        Set<String> hosts = new LinkedHashSet<>(candidates.keySet());
-        hosts.addAll(byHost.keySet());
+        Set<String> hosts = new LinkedHashSet<>();
+        for (Place place : places.values()) {
+            if (inCell(place)) {
+                hosts.add(place.host());
+            }
+        }
         return hosts;
     }
 
     /**
-     * Returns the peers that are alive and reachable.
+     * Returns the registered instances of another availability zone, the strongest first.
+     *
+     * @param zone the availability zone
+     * @return the instances
+     */
+    public List<Place> places(String zone) {
+        List<Place> found = new ArrayList<>();
+        for (Place place : places.values()) {
+            if (place.zone().equals(zone)) {
+                found.add(place);
+            }
+        }
+        found.sort(STRONGEST_FIRST);
+        return found;
+    }
+
+    /**
+     * Returns the address of the gateway that speaks for this cell: the strongest that accepts requests.
+     *
+     * @param selfReady whether this gateway accepts requests
+     * @param nowMillis the present time in milliseconds
+     * @return an IP address; this gateway's own if no other is fit
+     */
+    public String speaker(boolean selfReady, long nowMillis) {
+        List<Place> fit = new ArrayList<>();
+        if (selfReady) {
+            fit.add(self);
+        }
+        for (Peer peer : live(nowMillis)) {
+            GatewayState state = peer.state();
+            if (state.getReady() && !state.getStopping()) {
+                fit.add(new Place(state.getHost(), state.getZone(), state.getCapacity(), nowMillis));
+            }
+        }
+        return fit.stream().min(STRONGEST_FIRST).map(Place::host).orElse(self.host());
+    }
+
+    /**
+     * Returns the peers of this cell that are alive and reachable.
      *
      * @param nowMillis the present time in milliseconds
      * @return the peers
@@ -135,7 +225,17 @@
     }
 
     /**
-     * Returns all peers that are not known to be gone for good.
+     * Returns a peer of this cell.
+     *
+     * @param host its IP address
+     * @return the peer, or empty if it was never heard
+     */
+    public Optional<Peer> find(String host) {
+        return Optional.ofNullable(byHost.get(host));
+    }
+
+    /**
+     * Returns all peers of this cell that are not known to be gone for good.
      *
      * @return the peers
      */
@@ -149,22 +249,29 @@
      * @return the number of gateways; at least one
      */
     public int size() {
-        Set<String> hosts = new HashSet<>(byHost.keySet());
-        hosts.addAll(candidates.keySet());
-        return hosts.size() + 1;
+        return places.size() + 1;
     }
 
     /**
-     * Returns the part of all gateways that may be at work but is not heard.
+     * Returns the number of gateways of this cell that may be at work but are not heard.
      *
      * @param nowMillis the present time in milliseconds
-     * @return a share from zero to one
+     * @return the number of gateways
      */
-    public double silentShare(long nowMillis) {
-        long silent = byHost.values().stream()
+    public int silent(long nowMillis) {
+        return (int) byHost.values().stream()
                 .filter(peer -> !peer.live(nowMillis) && !peer.state().getStopping())
                 .count();
-        return (double) silent / size();
+    }
+
+    /** Divides the gateways into cells when there are many, and joins them only when there are clearly fewer. */
+    private void divide() {
+        int gateways = places.size() + 1;
+        celled = gateways > MOST_MESH || (celled && gateways > MOST_MESH / 2);
+    }
+
+    private boolean inCell(Place place) {
+        return !celled() || place.zone().isEmpty() || place.zone().equals(self.zone());
     }
 
     private static boolean newer(GatewayState state, GatewayState known) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/TokenQuota.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/TokenQuota.java
@@ -18,6 +18,7 @@
 
     private static final class Bucket {
         private final Map<String, Long> peerTotals = new HashMap<>();
+        private final Map<String, Long> peerCharges = new HashMap<>();
         private double level;
         private long filledAtMillis;
         private long ownTotal;
@@ -93,6 +94,7 @@
         Long previous = bucket.peerTotals.put(peer, total);
         if (previous != null && total > previous) {
             granted.add(total - previous, nowMillis);
+            bucket.peerCharges.merge(peer, total - previous, Long::sum);
         }
         if (previous != null && bucket.started) {
             bucket.level -= Math.max(0, total - previous);
@@ -124,6 +126,26 @@
         return totals;
     }
 
+    /**
+     * Returns the tokens granted since the start of this gateway by it and by peers whose names do not begin with a prefix.
+     *
+     * @param prefix the prefix
+     * @return totals by customer
+     */
+    public Map<String, Long> cellTotals(String prefix) {
+        Map<String, Long> totals = new HashMap<>();
+        buckets.forEach((customer, bucket) -> {
+            long sum = bucket.ownTotal;
+            for (Map.Entry<String, Long> charge : bucket.peerCharges.entrySet()) {
+                sum += charge.getKey().startsWith(prefix) ? 0 : charge.getValue();
+            }
+            if (sum > 0) {
+                totals.put(customer, sum);
+            }
+        });
+        return totals;
+    }
+
     private static void refill(Bucket bucket, Customer customer, double silentShare, long nowMillis) {
         if (!bucket.started) {
             bucket.started = true;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
@@ -23,7 +23,6 @@
     private long revision = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long call;
-    private boolean stopped;
 
     /** Learns what the watcher sees. */
     public interface Observer {
@@ -79,16 +78,14 @@
         }
     }
 
-    /** Stops following; replies that are still to come are passed over. */
-    public void stop() {
-        stopped = true;
+    /** Stops following until {@link #start}; replies that are still to come are passed over. */
+    public void pause() {
+        call++;
     }
 
     /** Makes the present call again, because the connection that carries it seems to be silent. */
     public void restart() {
-        if (!stopped) {
-            start();
-        }
+        start();
     }
 
     /**
@@ -165,6 +162,6 @@
     }
 
     private boolean stale(long mine) {
-        return stopped || mine != call;
+        return mine != call;
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -44,6 +44,7 @@
     private long upstreamsRevision = -1;
     private long restartedFor = -1;
     private boolean listed;
+    private boolean follows = true;
 
     /**
      * Creates a synchronization that has not begun.
@@ -71,6 +72,33 @@
         upstreams.start();
     }
 
+    /**
+     * Follows the store, or leaves that to a peer.
+     *
+     * @param following whether to follow
+     */
+    public void follow(boolean following) {
+        if (following != follows) {
+            follows = following;
+            log.add(log.line("store-watches").put("following", following));
+            if (following) {
+                start();
+            } else {
+                configurations.pause();
+                upstreams.pause();
+            }
+        }
+    }
+
+    /**
+     * Tells whether this gateway follows the store itself.
+     *
+     * @return false if it leaves that to a peer
+     */
+    public boolean follows() {
+        return follows;
+    }
+
     /**
      * Returns the configuration in force.
      *
@@ -204,7 +232,7 @@
      * @param revision the revision of the last change that the peer has seen
      */
     public void peerSaw(long revision) {
-        if (revision > upstreams.revision() && revision > restartedFor && link.reachable()) {
+        if (revision > upstreams.revision() && revision > restartedFor && link.reachable() && follows) {
             restartedFor = revision;
             upstreams.restart();
         }
@@ -212,7 +240,7 @@
 
     /** Makes the watch for the configuration again because a peer has a later one. */
     public void peerHasLaterConfiguration() {
-        if (link.reachable()) {
+        if (link.reachable() && follows) {
             configurations.restart();
         }
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamLoad.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /** Work in progress at one upstream: what this gateway has sent, and what its peers last told. */
 public final class UpstreamLoad {
@@ -85,11 +86,28 @@
      * @return the sum
      */
     public Work total(long nowMillis) {
+        return sum(peer -> true, nowMillis);
+    }
+
+    /**
+     * Returns the work of this gateway and the peers lately heard whose names do not begin with a prefix.
+     *
+     * @param prefix the prefix
+     * @param nowMillis the present time in milliseconds
+     * @return the sum
+     */
+    public Work totalExcept(String prefix, long nowMillis) {
+        return sum(peer -> !peer.startsWith(prefix), nowMillis);
+    }
+
+    private Work sum(Predicate<String> counted, long nowMillis) {
         peers.values().removeIf(word -> word.deadlineMillis() <= nowMillis);
         Work sum = own;
-        for (PeerWord word : peers.values()) {
-            Work work = word.work();
-            sum = sum.plus(work.inFlight(), work.unreadTokens(), work.memoryTokens());
+        for (Map.Entry<String, PeerWord> entry : peers.entrySet()) {
+            if (counted.test(entry.getKey())) {
+                Work work = entry.getValue().work();
+                sum = sum.plus(work.inFlight(), work.unreadTokens(), work.memoryTokens());
+            }
         }
         return sum;
     }
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/CellTableTest.java
@@ -0,0 +1,36 @@
+package org.lovagethread.gateway.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.lovagethread.wire.generated.CellState;
+
+class CellTableTest {
+    private final CellTable table = new CellTable("a");
+
+    private static CellState summary(String zone, String speaker, long sequence) {
+        return CellState.newBuilder()
+                .setZone(zone)
+                .setSpeaker(speaker)
+                .setSequence(sequence)
+                .setMembers(5)
+                .build();
+    }
+
+    @Test
+    void takesNewerSummariesOfOtherZones() {
+        assertThat(table.heard(summary("b", "b1#1", 3), 0)).isTrue();
+        assertThat(table.heard(summary("b", "b1#1", 2), 10)).isFalse();
+        assertThat(table.heard(summary("b", "b2#1", 1), 10)).isTrue();
+        assertThat(table.heard(summary("a", "a1#1", 1), 10)).isFalse();
+        assertThat(table.live(20)).hasSize(1);
+    }
+
+    @Test
+    void countsTheGatewaysOfCellsThatAreNotHeard() {
+        table.heard(summary("b", "b1#1", 1), 0);
+        assertThat(table.silent(CellTable.SILENT_MILLIS - 1)).isZero();
+        assertThat(table.silent(CellTable.SILENT_MILLIS)).isEqualTo(5);
+        assertThat(table.find("b", CellTable.SILENT_MILLIS)).isEmpty();
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/PeerTableTest.java
@@ -0,0 +1,89 @@
+package org.lovagethread.gateway.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagethread.gateway.peer.PeerTable.Place;
+import org.lovagethread.wire.generated.GatewayState;
+
+class PeerTableTest {
+    private final PeerTable table = new PeerTable("a1", "a", 36);
+
+    private static GatewayState word(String host, String zone, long incarnation, long sequence, int capacity) {
+        return GatewayState.newBuilder()
+                .setNode(host)
+                .setHost(host)
+                .setZone(zone)
+                .setIncarnation(incarnation)
+                .setSequence(sequence)
+                .setReady(true)
+                .setCapacity(capacity)
+                .build();
+    }
+
+    private void register(String zone, int count) {
+        for (int i = 1; i <= count; i++) {
+            table.add(new Place(zone + i, zone, 36, 0));
+        }
+    }
+
+    @Nested
+    class Mesh {
+        @Test
+        void hearsAllZones() {
+            register("a", 2);
+            register("b", 2);
+            assertThat(table.celled()).isFalse();
+            assertThat(table.heard(word("b1", "b", 1, 1, 36), 10)).isTrue();
+            assertThat(table.hosts()).containsExactlyInAnyOrder("a2", "b1", "b2");
+        }
+
+        @Test
+        void passesOverOlderWords() {
+            table.heard(word("b1", "b", 2, 5, 36), 10);
+            assertThat(table.heard(word("b1", "b", 2, 4, 36), 20)).isFalse();
+            assertThat(table.heard(word("b1", "b", 1, 9, 36), 20)).isFalse();
+            assertThat(table.heard(word("b1", "b", 3, 1, 36), 20)).isTrue();
+        }
+
+        @Test
+        void countsPeersThatAreNotHeardUntilTheyAreGone() {
+            table.heard(word("b1", "b", 1, 1, 36), 0);
+            assertThat(table.silent(2_000)).isEqualTo(1);
+            assertThat(table.expire(PeerTable.GONE_MILLIS + 1)).containsExactly("b1");
+            assertThat(table.silent(PeerTable.GONE_MILLIS + 1)).isZero();
+        }
+    }
+
+    @Nested
+    class Cells {
+        @Test
+        void beginWhenThereAreManyGateways() {
+            register("a", 8);
+            register("b", 8);
+            assertThat(table.celled()).isTrue();
+            assertThat(table.hosts()).hasSize(7).allMatch(host -> host.startsWith("a"));
+            assertThat(table.heard(word("b1", "b", 1, 1, 36), 10)).isFalse();
+            assertThat(table.heard(word("a2", "a", 1, 1, 36), 10)).isTrue();
+        }
+
+        @Test
+        void areSpokenForByTheStrongestThatIsReady() {
+            register("a", 8);
+            register("b", 8);
+            assertThat(table.speaker(true, 10)).isEqualTo("a1");
+            table.heard(word("a3", "a", 1, 1, 150), 10);
+            assertThat(table.speaker(true, 10)).isEqualTo("a3");
+            assertThat(table.speaker(true, 10 + PeerTable.SILENT_MILLIS)).isEqualTo("a1");
+        }
+
+        @Test
+        void keepTheRegisteredGatewaysOfOtherZones() {
+            register("a", 8);
+            register("b", 8);
+            assertThat(table.expire(PeerTable.GONE_MILLIS + 1)).allMatch(host -> host.startsWith("a"));
+            assertThat(table.places("b")).hasSize(8);
+        }
+    }
+}
