--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -173,6 +173,7 @@
             return;
         }
         if (sends == 0 && !context.admission().worthSending(route, choice.get(), remaining)) {
+            record.weighed(choice.get(), context.upstreamsRevision(), nowMillis);
             refuse(ErrorKind.OVERLOADED, context.admission().retryAfterMillis(choice.get(), remaining), nowMillis);
             return;
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeRecord.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeRecord.java
@@ -2,7 +2,9 @@
 
 import org.lovagethread.gateway.log.LogLine;
 import org.lovagethread.gateway.policy.AttemptOutcome;
+import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.gateway.upstream.UpstreamLoad;
 
 /** What happened to one request, for logs and metrics. */
 final class ExchangeRecord {
@@ -11,6 +13,7 @@
     private final StringBuilder attempts = new StringBuilder();
     private String outcome = "";
     private String reason = "";
+    private String weighed = "";
     private long firstEventMillis = -1;
     private long endedMillis;
 
@@ -29,6 +32,14 @@
                 .append(" ms");
     }
 
+    /** Keeps what an admission was decided by. */
+    void weighed(Placement.Choice choice, long revision, long nowMillis) {
+        UpstreamLoad.Work work = choice.upstream().load().total(nowMillis);
+        weighed = "best " + choice.upstream().entry().id() + ", predicted " + (long) choice.waitMillis() + " ms, "
+                + work.inFlight() + " in flight, " + work.unreadTokens() + " tokens unread, last bytes "
+                + (nowMillis - choice.upstream().lastBytesMillis()) + " ms ago, upstreams of revision " + revision;
+    }
+
     void failed(AttemptOutcome how, String why, long nowMillis) {
         attempts.append(", ")
                 .append(how)
@@ -76,6 +87,7 @@
                 .put("service", admitted.service().name())
                 .put("outcome", outcome)
                 .put("reason", reason)
+                .put("weighed", weighed)
                 .put("first_event_ms", firstEventMillis)
                 .put("total_ms", endedMillis)
                 .put("attempts", attempts.toString());
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -27,6 +27,7 @@
 import org.lovagethread.gateway.duty.UsageReporter;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.log.GatewayMetrics;
+import org.lovagethread.gateway.log.LogSampler;
 import org.lovagethread.gateway.peer.ClockAgreement;
 import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.policy.AddressPolicy;
@@ -44,6 +45,7 @@
 public final class Gateway implements RequestContext, Scheduler, DutyLease.Clocks {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_MILLIS = 20;
+    private static final int MOST_LINES_PER_SECOND = 40;
     private static final int ACCEPT_BACKLOG = 1_024;
 
     private final GatewaySettings settings;
@@ -58,6 +60,8 @@
     private final Admission admission = new Admission();
     private final TokenQuota quota = new TokenQuota();
     private final ClockAgreement clock = new ClockAgreement();
+    private final LogSampler answered = new LogSampler(MOST_LINES_PER_SECOND);
+    private final LogSampler refusedLines = new LogSampler(MOST_LINES_PER_SECOND);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AddressPolicy addresses;
     private final PeerTable peers;
@@ -231,7 +235,11 @@
 
     void refused(HttpRequest request, Refusal refusal, long version) {
         metrics.refused(refusal.kind().label());
+        if (!refusedLines.take(nowMillis())) {
+            return;
+        }
         log.add(log.line("request-refused")
+                .put("omitted_before", refusedLines.takeOmitted())
                 .put("request", ports.callers().attributes(request).requestId())
                 .put("outcome", refusal.kind().label())
                 .put("configuration", version)
@@ -243,10 +251,14 @@
         AdmittedRequest admitted = record.admitted();
         String customer = admitted.customer().map(owner -> owner.name()).orElse("");
         metrics.ended(admitted.route().name(), customer, record.outcome(), record.answerMillis());
+        if (record.ordinary() && !answered.take(nowMillis())) {
+            return;
+        }
         log.add(record.line(log.line("request-ended"))
                 .put(
                         "configuration",
-                        configuration().map(GatewayConfiguration::version).orElse(-1L)));
+                        configuration().map(GatewayConfiguration::version).orElse(-1L))
+                .put("omitted_before", answered.takeOmitted()));
     }
 
     boolean ready() {
@@ -348,6 +360,11 @@
         return upstreams;
     }
 
+    @Override
+    public long upstreamsRevision() {
+        return sync.upstreamsRevision();
+    }
+
     @Override
     public Placement placement() {
         return placement;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestContext.java
@@ -17,6 +17,9 @@
     /** Returns the upstreams. */
     UpstreamTable upstreams();
 
+    /** Returns the revision of the last change of upstreams that was seen. */
+    long upstreamsRevision();
+
     /** Returns the choice of upstreams. */
     Placement placement();
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeContext.java
@@ -198,6 +198,11 @@
         return upstreams;
     }
 
+    @Override
+    public long upstreamsRevision() {
+        return 1;
+    }
+
     @Override
     public Placement placement() {
         return placement;
