--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -125,6 +125,7 @@
         listen(settings.ready(), channel -> SimpleServer.accept(channel, this::entryAnswer));
         listen(settings.directory(), channel -> SimpleServer.accept(channel, this::entryAnswer));
         listen(settings.metrics(), channel -> SimpleServer.accept(channel, request -> metricsAnswer()));
+        listen(peerAddress(), channel -> SimpleServer.accept(channel, this::peerAnswer));
         exchange.open(loop);
         log.add(log.line("started").put("incarnation", incarnation).put("zone", settings.zone()));
         loop.execute(() -> {
@@ -322,12 +323,19 @@
         return clock.trueMillis(wallMillis(), steadyMillis());
     }
 
-    ByteString peerAnswer(String uri) {
-        return switch (uri) {
-            case PeerExchange.CONFIGURATION_URI -> sync.configurationBytes().orElse(ByteString.EMPTY);
-            case PeerExchange.UPSTREAMS_URI -> sync.upstreamBytes();
-            default -> ByteString.EMPTY;
-        };
+    private InetSocketAddress peerAddress() {
+        return new InetSocketAddress(settings.metrics().getAddress(), settings.peerPort());
+    }
+
+    private SimpleServer.Answer peerAnswer(FullHttpRequest request) {
+        ByteString body =
+                switch (request.uri()) {
+                    case PeerExchange.CONFIGURATION_URI -> sync.configurationBytes()
+                            .orElse(ByteString.EMPTY);
+                    case PeerExchange.UPSTREAMS_URI -> sync.upstreamBytes();
+                    default -> ByteString.EMPTY;
+                };
+        return new SimpleServer.Answer(HttpResponseStatus.OK, "application/octet-stream", body);
     }
 
     @Override
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -3,12 +3,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.ByteString;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
@@ -85,23 +80,6 @@
     void open(EventLoop loop) throws InterruptedException {
         GatewaySettings settings = gateway.settings();
         link = new PeerLink(loop, settings.host(), settings.peerPort(), this::heard, this::unreadable);
-        new ServerBootstrap()
-                .group(loop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        SimpleServer.accept(
-                                channel,
-                                request -> new SimpleServer.Answer(
-                                        HttpResponseStatus.OK,
-                                        "application/octet-stream",
-                                        gateway.peerAnswer(request.uri())));
-                    }
-                })
-                .bind(settings.host(), settings.peerPort())
-                .sync();
     }
 
     void start() {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
@@ -22,7 +22,7 @@
     private static final double PLANNED_READ_SHARE = 0.60;
 
     /** Share of the fleet at the start that is kept at any load. */
-    private static final double FLOOR_SHARE = 0.45;
+    private static final double FLOOR_SHARE = 0.6;
 
     /** Share of the needed instances that is left if one more zone's reclaimable instances are taken away. */
     private static final double SURVIVING_SHARE = 0.6;
