Gather changes before watching on; plan half of the slots

Change: a watch is made again after a short pause in which changes gather (60 ms configuration, 120 ms upstreams, 1.5 s gateways); refused orders are given again after 3 s; half of the slots are planned for.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
@@ -26,7 +26,7 @@
     private static final long LEARNING_MILLIS = 2_500;
 
     /** Time after which a refused order is given again, in milliseconds. */
-    private static final long REFUSED_MILLIS = 2_000;
+    private static final long REFUSED_MILLIS = 3_000;
 
     /** Time after which an order without an answer is given again, in milliseconds. */
     private static final long UNKNOWN_MILLIS = 500;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -55,7 +55,7 @@
     private static final long FETCH_MILLIS = 400;
 
     private static final long FETCH_TIMEOUT_MILLIS = 600;
-    private static final long WATCH_MILLIS = 15_000;
+    private static final KindWatcher.Times MEMBER_TIMES = new KindWatcher.Times(20_000, 1_500);
     private static final long REGISTER_RETRY_MILLIS = 500;
     private static final String HOST = "host";
     private static final String ZONE = "zone";
@@ -85,7 +85,7 @@
     void start() {
         long now = gateway.nowMillis();
         gateway.settings().seeds().forEach(host -> gateway.peers().add(new PeerTable.Place(host, "", 0, now)));
-        new KindWatcher(gateway.ports().store(), ObjectKind.GATEWAYS, WATCH_MILLIS, gateway, new Members()).start();
+        new KindWatcher(gateway.ports().store(), ObjectKind.GATEWAYS, MEMBER_TIMES, gateway, new Members()).start();
         register();
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
@@ -16,7 +16,7 @@
  */
 public final class FleetPlanner {
     /** Share of the slots of an engine that are in use at the planned load. */
-    private static final double PLANNED_SLOT_SHARE = 0.30;
+    private static final double PLANNED_SLOT_SHARE = 0.50;
 
     /** Share of an engine's time that is spent on reading prompts at the planned load. */
     private static final double PLANNED_READ_SHARE = 0.60;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
@@ -18,12 +18,20 @@
     private final ObjectKind kind;
     private final Scheduler scheduler;
     private final Observer observer;
-    private final long waitMillis;
+    private final Times times;
     private List<StoredObject> listing = new ArrayList<>();
     private long revision = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long call;
 
+    /**
+     * How long calls wait.
+     *
+     * @param waitMillis the longest wait of one call in milliseconds
+     * @param settleMillis the pause after a change, in which further changes gather, in milliseconds
+     */
+    public record Times(long waitMillis, long settleMillis) {}
+
     /** Learns what the watcher sees. */
     public interface Observer {
         /**
@@ -55,14 +63,14 @@
      *
      * @param store the store
      * @param kind the kind to follow
-     * @param waitMillis the longest wait of one call in milliseconds
+     * @param times how long calls wait
      * @param scheduler runs calls later
      * @param observer learns what is seen
      */
-    public KindWatcher(ObjectStore store, ObjectKind kind, long waitMillis, Scheduler scheduler, Observer observer) {
+    public KindWatcher(ObjectStore store, ObjectKind kind, Times times, Scheduler scheduler, Observer observer) {
         this.store = store;
         this.kind = kind;
-        this.waitMillis = waitMillis;
+        this.times = times;
         this.scheduler = scheduler;
         this.observer = observer;
     }
@@ -125,15 +133,15 @@
     }
 
     private void watch(long mine) {
-        store.watch(kind, revision, waitMillis, reply -> {
+        store.watch(kind, revision, times.waitMillis(), reply -> {
             if (stale(mine)) {
                 return;
             }
             observer.called(reply.answered());
             if (reply.status() == Status.OK && reply.value().isPresent()) {
-                changes(reply.value().get());
                 pauseMillis = FIRST_PAUSE_MILLIS;
-                watch(mine);
+                changes(reply.value().get());
+                next(reply.value().get(), mine);
             } else {
                 if (reply.status() == Status.HISTORY_GONE) {
                     revision = -1;
@@ -144,6 +152,18 @@
         });
     }
 
+    private void next(ObjectStore.Changes seen, long mine) {
+        if (seen.changes().isEmpty() || times.settleMillis() == 0) {
+            watch(mine);
+            return;
+        }
+        scheduler.after(times.settleMillis(), () -> {
+            if (!stale(mine)) {
+                watch(mine);
+            }
+        });
+    }
+
     private void changes(ObjectStore.Changes changes) {
         revision = Math.max(revision, changes.revision());
         for (ObjectStore.Change change : changes.changes()) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -26,8 +26,8 @@
  * <p>The version of the configuration never goes back while the process lives.
  */
 public final class StateSync {
-    /** Longest wait of one watch for the configuration or upstreams, in milliseconds. */
-    private static final long WATCH_MILLIS = 5_000;
+    private static final KindWatcher.Times CONFIGURATION_TIMES = new KindWatcher.Times(5_000, 60);
+    private static final KindWatcher.Times UPSTREAM_TIMES = new KindWatcher.Times(5_000, 120);
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -61,9 +61,10 @@
         this.decoder = decoder;
         this.table = table;
         this.log = log;
-        this.configurations =
-                new KindWatcher(store, ObjectKind.CONFIGURATION, WATCH_MILLIS, scheduler, new ConfigurationObserver());
-        this.upstreams = new KindWatcher(store, ObjectKind.UPSTREAMS, WATCH_MILLIS, scheduler, new UpstreamObserver());
+        this.configurations = new KindWatcher(
+                store, ObjectKind.CONFIGURATION, CONFIGURATION_TIMES, scheduler, new ConfigurationObserver());
+        this.upstreams =
+                new KindWatcher(store, ObjectKind.UPSTREAMS, UPSTREAM_TIMES, scheduler, new UpstreamObserver());
     }
 
     /** Begins to follow the store. */
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
@@ -18,7 +18,8 @@
     private final ScriptedStore store = new ScriptedStore();
     private final TreeMap<Long, Runnable> timers = new TreeMap<>();
     private final List<String> seen = new ArrayList<>();
-    private final KindWatcher watcher = new KindWatcher(store, ObjectKind.UPSTREAMS, 5_000, this, this);
+    private final KindWatcher watcher =
+            new KindWatcher(store, ObjectKind.UPSTREAMS, new KindWatcher.Times(5_000, 100), this, this);
     private long now;
 
     /** Keeps the last call, so that a test can answer it. */
@@ -107,6 +108,8 @@
         assertThat(store.since).isEqualTo(8);
         store.watching.accept(StoreReply.of(Status.OK, new Changes(List.of(new Change(object("a", 9), true)), 9)));
         assertThat(seen).endsWith("removed a");
+        assertThat(store.since).isEqualTo(8);
+        fireTimers();
         assertThat(store.since).isEqualTo(9);
     }
 
