Look for the end of a connection before passing on what was read late

The requests had waited 1.8 s unread at a node short of processor time after a restart; request and end of the connection came in two reads, and the request was passed on between them. Ruled out: reading until the socket is empty each time: one more call of the system for each read. Change: LagDetector tells from the pauses between ticks that the thread is late; then a request is passed on 2 ms later, after the end of its connection has been read.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/FrontHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/FrontHandler.java
@@ -27,6 +27,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.ClientLimits;
 
@@ -35,6 +36,9 @@
     /** The most decoded objects that wait for the answer to the request before them. */
     private static final int MOST_WAITING = 64;
 
+    /** Time in which the end of a connection is read after its request, in milliseconds. */
+    private static final long LOOK_AGAIN_MILLIS = 2;
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final FrontServer server;
@@ -182,7 +186,18 @@
             return;
         }
         answering = true;
-        server.received(this, request, body);
+        if (server.late()) {
+            channel.eventLoop().schedule(this::pass, LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            pass();
+        }
+    }
+
+    /** Passes the request on unless its caller has left in the meantime. */
+    private void pass() {
+        if (!closing && channel.isActive()) {
+            server.received(this, request, body);
+        }
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/FrontServer.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/FrontServer.java
@@ -93,6 +93,11 @@
         return gateway.nowMillis();
     }
 
+    /** Tells whether a request that is read now may have waited for long. */
+    boolean late() {
+        return gateway.late();
+    }
+
     void received(FrontHandler connection, HttpRequest request, ByteBuf body) {
         long now = gateway.nowMillis();
         Optional<GatewayConfiguration> configuration = gateway.configuration();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -32,6 +32,7 @@
 import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.policy.AddressPolicy;
 import org.lovagethread.gateway.policy.Admission;
+import org.lovagethread.gateway.policy.LagDetector;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
@@ -62,6 +63,7 @@
     private final ClockAgreement clock = new ClockAgreement();
     private final LogSampler answered = new LogSampler(MOST_LINES_PER_SECOND);
     private final LogSampler refusedLines = new LogSampler(MOST_LINES_PER_SECOND);
+    private final LagDetector lag = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AddressPolicy addresses;
     private final PeerTable peers;
@@ -184,6 +186,7 @@
 
     private void tick(long nowMillis) {
         ticks++;
+        lag.ticked(nowMillis);
         front.tick(nowMillis, shutdown.idleDeadlineMillis());
         shutdown.tick(nowMillis);
         exchange.tick(nowMillis);
@@ -268,6 +271,10 @@
         return sync.complete() && !front.draining();
     }
 
+    boolean late() {
+        return lag.late(nowMillis());
+    }
+
     GatewaySettings settings() {
         return settings;
     }
