Keep a watch going when its observer fails

Cause: read in the code: an exception in a callback would have ended the chain of watch calls for the life of the process. Change: the watcher guards its observer, which logs the fault. KindWatcherTest plays a change that throws.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -346,6 +346,11 @@
             gateway.metrics().state("members_watch_answered", answered ? 1 : 0);
         }
 
+        @Override
+        public void failed(RuntimeException fault) {
+            gateway.log().add(gateway.log().line("store-change-failed").put("reason", fault.toString()));
+        }
+
         private void add(StoredObject object) {
             registered.put(object.name(), host(object));
             gateway.peers()
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
@@ -56,6 +56,13 @@
          * @param answered whether the store answered
          */
         void called(boolean answered);
+
+        /**
+         * Takes a fault of the observer itself; the watcher goes on.
+         *
+         * @param fault what was thrown
+         */
+        void failed(RuntimeException fault);
     }
 
     /**
@@ -127,7 +134,8 @@
         }
         pauseMillis = FIRST_PAUSE_MILLIS;
         revision = page.revision();
-        observer.listed(listing, revision);
+        List<StoredObject> complete = listing;
+        guarded(() -> observer.listed(complete, revision));
         listing = new ArrayList<>();
         watch(mine);
     }
@@ -167,7 +175,15 @@
     private void changes(ObjectStore.Changes changes) {
         revision = Math.max(revision, changes.revision());
         for (ObjectStore.Change change : changes.changes()) {
-            observer.changed(change, revision);
+            guarded(() -> observer.changed(change, revision));
+        }
+    }
+
+    private void guarded(Runnable report) {
+        try {
+            report.run();
+        } catch (RuntimeException e) {
+            observer.failed(e);
         }
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -301,6 +301,10 @@
         }
     }
 
+    private void failed(RuntimeException fault) {
+        log.add(log.line("store-change-failed").put("reason", fault.toString()));
+    }
+
     private static ByteString bytes(JsonNode content) {
         try {
             return ByteString.copyFrom(JSON.writeValueAsBytes(content));
@@ -326,6 +330,11 @@
         public void called(boolean answered) {
             StateSync.this.called(answered);
         }
+
+        @Override
+        public void failed(RuntimeException fault) {
+            StateSync.this.failed(fault);
+        }
     }
 
     private final class UpstreamObserver implements KindWatcher.Observer {
@@ -343,5 +352,10 @@
         public void called(boolean answered) {
             StateSync.this.called(answered);
         }
+
+        @Override
+        public void failed(RuntimeException fault) {
+            StateSync.this.failed(fault);
+        }
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
@@ -92,12 +92,20 @@
 
     @Override
     public void changed(Change change, long revision) {
+        if (change.object().name().equals("poison")) {
+            throw new IllegalStateException("poisoned");
+        }
         seen.add((change.removed() ? "removed " : "changed ") + change.object().name());
     }
 
     @Override
     public void called(boolean answered) {}
 
+    @Override
+    public void failed(RuntimeException fault) {
+        seen.add(fault.getMessage());
+    }
+
     @Test
     void listsAllPagesAndThenWatches() {
         watcher.start();
@@ -113,6 +121,18 @@
         assertThat(store.since).isEqualTo(9);
     }
 
+    @Test
+    void goesOnAfterAFaultOfItsObserver() {
+        watcher.start();
+        store.listing.accept(StoreReply.of(Status.OK, page(false, 8, "a")));
+        store.watching.accept(StoreReply.of(
+                Status.OK,
+                new Changes(List.of(new Change(object("poison", 9), false), new Change(object("b", 10), false)), 10)));
+        assertThat(seen).endsWith("poisoned", "changed b");
+        fireTimers();
+        assertThat(store.since).isEqualTo(10);
+    }
+
     @Test
     void listsAgainWhenHistoryIsGone() {
         watcher.start();
