Begin no stream that a stop could cut; start with fewer classes

(3) a restarted node needed about a second: classes of the command line, slf4j and string concatenation by method handles were loaded at its start.

--- a/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
@@ -32,6 +32,8 @@
     OVERLOADED(503, RunState.NOT_RUN, true, "The node is overloaded."),
     /** The node has no configuration yet. */
     NOT_READY(503, RunState.NOT_RUN, true, "The node has no configuration yet."),
+    /** The node is stopping and could not end the request in time. */
+    STOPPING(503, RunState.NOT_RUN, true, "The node is stopping."),
     /** No upstream can take the call. */
     NO_UPSTREAM(503, RunState.NOT_RUN, true, "No upstream can take the call."),
     /** The platform's Object API cannot record the claim that the call needs. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/FrontHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/FrontHandler.java
@@ -36,8 +36,8 @@
     /** The most decoded objects that wait for the answer to the request before them. */
     private static final int MOST_WAITING = 64;
 
-    /** Time in which the end of a connection is read after its request, in milliseconds. */
-    private static final long LOOK_AGAIN_MILLIS = 2;
+    /** Delay of a task that runs after the reads of the next round, in milliseconds. */
+    private static final long LOOK_AGAIN_MILLIS = 1;
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
@@ -187,12 +187,24 @@
         }
         answering = true;
         if (server.late()) {
-            channel.eventLoop().schedule(this::pass, LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+            afterNextReads(this::pass);
         } else {
             pass();
         }
     }
 
+    /**
+     * Runs an action after the connections have been read once more. A task that is due within a long round of the event
+     * loop runs at the end of the same round, so two tasks in turn are needed to reach the next one.
+     */
+    private void afterNextReads(Runnable action) {
+        channel.eventLoop()
+                .schedule(
+                        () -> channel.eventLoop().schedule(action, LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS),
+                        LOOK_AGAIN_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     /** Passes the request on unless its caller has left in the meantime. */
     private void pass() {
         if (!closing && channel.isActive()) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/FrontServer.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/FrontServer.java
@@ -9,11 +9,17 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.ClientLimits;
 import org.lovagethread.gateway.config.GatewayConfiguration;
 
 /** Accepts connections of callers and starts an exchange for each request. */
 public final class FrontServer {
+    /** Time after the request to stop for which streams are still begun, in milliseconds. */
+    private static final long STREAMS_ACCEPTED_MILLIS = 2_700;
+
+    private static final Refusal STOPPING = new Refusal(ErrorKind.STOPPING, 20);
+
     private final Gateway gateway;
     private final Intake intake;
     private final Set<FrontHandler> connections = new LinkedHashSet<>();
@@ -112,6 +118,15 @@
             connection.refuse(refusal.kind(), refusal.retryAfterMillis());
             return;
         }
+        if (decision.get().route().streaming() && now - drainedMillis > STREAMS_ACCEPTED_MILLIS) {
+            gateway.refund(decision.get());
+            gateway.refused(
+                    request,
+                    STOPPING,
+                    configuration.map(GatewayConfiguration::version).orElse(-1L));
+            connection.refuse(STOPPING.kind(), STOPPING.retryAfterMillis());
+            return;
+        }
         Exchange exchange = new Exchange(gateway, connection, decision.get(), now);
         connection.carry(exchange);
         exchange.start();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -271,6 +271,11 @@
         return sync.complete() && !front.draining();
     }
 
+    /** Gives back what was charged for a request that is not begun. */
+    void refund(AdmittedRequest admitted) {
+        admitted.customer().ifPresent(owner -> quota.refund(owner.name(), tokens(admitted.call(), owner)));
+    }
+
     boolean late() {
         return lag.late(nowMillis());
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/AddressPolicy.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/AddressPolicy.java
@@ -12,7 +12,7 @@
  */
 public final class AddressPolicy {
     /** Time for which callers keep an answer, in milliseconds. */
-    public static final long KEEP_MILLIS = 1_500;
+    public static final long KEEP_MILLIS = 1_000;
 
     /** The most addresses of an answer. */
     private static final int MOST_ADDRESSES = 64;
--- a/lovagethread-node/src/main/java/org/lovagethread/node/NodeMain.java
+++ b/lovagethread-node/src/main/java/org/lovagethread/node/NodeMain.java
@@ -27,18 +27,23 @@
     /** Exit status for wrong arguments or settings. */
     public static final int USAGE = 2;
 
-    private static final Options OPTIONS = new Options()
-            .addOption(Option.builder()
-                    .longOpt("settings")
-                    .hasArg()
-                    .argName("FILE")
-                    .desc("INI file with the settings of the node")
-                    .build())
-            .addOption(null, "check-settings", false, "checks the settings and exits")
-            .addOption(null, "help", false, "shows this help");
-
     private NodeMain() {}
 
+    /** Holds the options, which are loaded only when the command line is read. */
+    private static final class CommandOptions {
+        private static final Options OPTIONS = new Options()
+                .addOption(Option.builder()
+                        .longOpt("settings")
+                        .hasArg()
+                        .argName("FILE")
+                        .desc("INI file with the settings of the node")
+                        .build())
+                .addOption(null, "check-settings", false, "checks the settings and exits")
+                .addOption(null, "help", false, "shows this help");
+
+        private CommandOptions() {}
+    }
+
     /**
      * Starts the node that the arguments describe, and returns when it has stopped.
      *
@@ -53,7 +58,7 @@
         }
         CommandLine line = parse(args);
         if (line.hasOption("help")) {
-            new HelpFormatter().printHelp("lovagethread-node --settings FILE", OPTIONS);
+            new HelpFormatter().printHelp("lovagethread-node --settings FILE", CommandOptions.OPTIONS);
             return;
         }
         if (!line.hasOption("settings") || !line.getArgList().isEmpty()) {
@@ -91,7 +96,7 @@
 
     private static CommandLine parse(String[] args) {
         try {
-            return new DefaultParser().parse(OPTIONS, args);
+            return new DefaultParser().parse(CommandOptions.OPTIONS, args);
         } catch (ParseException e) {
             fail(List.of("lovagethread-node: " + e.getMessage()));
             throw new IllegalStateException(e);
