Compress what gateways fetch from each other; ask the store when a peer is long ahead

Members fetch it from their speaker; 400 KB to each of a dozen fill a link of 10 Mbit/s for 4 s, and each fetch was given up after 0.6 s and begun anew. Change: configuration and list of upstreams travel compressed (under a tenth), the configuration compressed once a version; one fetch of a kind at a time with 2 s; a member that lags for 1.2 s follows the store itself.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -48,13 +49,16 @@
     /** Time for which a peer may have a later configuration before it is fetched, in milliseconds. */
     private static final long LAG_MILLIS = 200;
 
+    /** Time for which a peer may have a later state before the store is asked directly, in milliseconds. */
+    private static final long LONG_LAG_MILLIS = 1_200;
+
     /** Time without the store from which upstreams are fetched from peers, in milliseconds. */
     private static final long STORE_AWAY_MILLIS = 500;
 
     /** Time between two fetches, in milliseconds. */
     private static final long FETCH_MILLIS = 400;
 
-    private static final long FETCH_TIMEOUT_MILLIS = 600;
+    private static final long FETCH_TIMEOUT_MILLIS = 2_000;
     private static final KindWatcher.Times MEMBER_TIMES = new KindWatcher.Times(20_000, 1_500);
     private static final long REGISTER_RETRY_MILLIS = 500;
     private static final String HOST = "host";
@@ -65,6 +69,7 @@
     private final HttpCaller http;
     private final CellExchange cells;
     private final Map<String, Long> laggingSince = new HashMap<>();
+    private final Set<String> fetching = new HashSet<>();
     private final Map<String, String> registered = new HashMap<>();
     private PeerLink link;
     private long sequence;
@@ -97,7 +102,7 @@
                     GatewayDatagram.newBuilder().setState(state(nowMillis)).build();
             link.send(datagram, gateway.peers().hosts());
             catchUp(nowMillis);
-            gateway.sync().follow(!cells.followsSpeaker(nowMillis));
+            gateway.sync().follow(!cells.followsSpeaker(nowMillis) || lagsLong(nowMillis));
         }
         cells.tick(nowMillis);
     }
@@ -263,13 +268,22 @@
 
     /** Fetches from peers what this gateway should know and does not. */
     private void catchUp(long nowMillis) {
+        Set<String> heard = new HashSet<>();
         for (Peer peer : gateway.peers().live(nowMillis)) {
             GatewayState state = peer.state();
+            heard.add(state.getHost());
             catchUp(state.getHost(), state.getConfigurationVersion(), state.getUpstreamsRevision(), nowMillis);
         }
         for (CellState state : cells.live(nowMillis)) {
+            heard.add(state.getSpeakerHost());
             catchUp(state.getSpeakerHost(), state.getConfigurationVersion(), state.getUpstreamsRevision(), nowMillis);
         }
+        laggingSince.keySet().retainAll(heard);
+    }
+
+    /** Tells whether a peer has had a later state for so long that the store is asked directly. */
+    private boolean lagsLong(long nowMillis) {
+        return laggingSince.values().stream().anyMatch(since -> nowMillis - since > LONG_LAG_MILLIS);
     }
 
     private void catchUp(String host, long peerVersion, long peerRevision, long nowMillis) {
@@ -300,11 +314,15 @@
     }
 
     private void fetch(String host, String uri, Consumer<ByteString> taken) {
+        if (!fetching.add(uri)) {
+            return;
+        }
         InetSocketAddress address =
                 new InetSocketAddress(host, gateway.settings().peerPort());
         HttpCaller.Call call =
                 new HttpCaller.Call(address, HttpMethod.GET, uri, Map.of(), ByteString.EMPTY, FETCH_TIMEOUT_MILLIS);
         http.call(call, reply -> {
+            fetching.remove(uri);
             if (reply.status() == HttpResponseStatus.OK.code() && !reply.body().isEmpty()) {
                 taken.accept(reply.body());
             }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -41,6 +41,7 @@
     private final Map<String, StoredObject> records = new LinkedHashMap<>();
     private Optional<GatewayConfiguration> configuration = Optional.empty();
     private Optional<JsonNode> configurationContent = Optional.empty();
+    private Optional<ByteString> configurationBytes = Optional.empty();
     private long upstreamsRevision = -1;
     private long restartedFor = -1;
     private boolean listed;
@@ -110,12 +111,15 @@
     }
 
     /**
-     * Returns the configuration in force as it was written.
+     * Returns the configuration in force for a peer.
      *
-     * @return the content in JSON, or empty before the first is known
+     * @return the content as it was written, compressed, or empty before the first is known
      */
     public Optional<ByteString> configurationBytes() {
-        return configurationContent.map(StateSync::bytes);
+        if (configurationBytes.isEmpty()) {
+            configurationBytes = configurationContent.map(content -> Compressed.of(bytes(content)));
+        }
+        return configurationBytes;
     }
 
     /**
@@ -171,17 +175,18 @@
                 .put("source", source));
         configuration = Optional.of(offered);
         configurationContent = Optional.of(content);
+        configurationBytes = Optional.empty();
     }
 
     /**
      * Takes a configuration from a peer.
      *
-     * @param bytes the content in JSON
+     * @param bytes the content as a peer returned it
      * @param peer the name of the peer
      */
     public void offerConfiguration(ByteString bytes, String peer) {
         try {
-            offerConfiguration(JSON.readTree(bytes.newInput()), peer);
+            offerConfiguration(JSON.readTree(Compressed.plain(bytes).newInput()), peer);
         } catch (IOException e) {
             log.add(log.line("configuration-unreadable").put("source", peer).put("reason", e.getMessage()));
         }
@@ -198,7 +203,7 @@
             listing.addUpstreams(
                     UpstreamRecord.newBuilder().setId(object.name()).setContent(bytes(object.content())));
         }
-        return listing.build().toByteString();
+        return Compressed.of(listing.build().toByteString());
     }
 
     /**
@@ -209,7 +214,7 @@
      */
     public void offerUpstreams(ByteString bytes, String peer) {
         try {
-            UpstreamListing listing = UpstreamListing.parseFrom(bytes);
+            UpstreamListing listing = UpstreamListing.parseFrom(Compressed.plain(bytes));
             if (listing.getRevision() <= upstreamsRevision) {
                 return;
             }
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/CompressedTest.java
@@ -0,0 +1,29 @@
+package org.lovagethread.gateway.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+class CompressedTest {
+
+    @Test
+    void restoresALargeConfigurationFromATenth() throws IOException {
+        StringBuilder routes = new StringBuilder();
+        for (int i = 0; i < 1_500; i++) {
+            routes.append("{\"name\":\"r-").append(i).append("\",\"hostname\":\"site.example\",\"timeout_ms\":2000},");
+        }
+        ByteString plain = ByteString.copyFromUtf8(routes.toString());
+        ByteString compressed = Compressed.of(plain);
+        assertThat(compressed.size()).isLessThan(plain.size() / 10);
+        assertThat(Compressed.plain(compressed)).isEqualTo(plain);
+    }
+
+    @Test
+    void rejectsBytesThatAreNotCompressed() {
+        assertThatThrownBy(() -> Compressed.plain(ByteString.copyFromUtf8("plain")))
+                .isInstanceOf(IOException.class);
+    }
+}
