--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
@@ -1,10 +1,12 @@
 package org.lovagethread.gateway.duty;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.lovagethread.gateway.store.ObjectKind;
 import org.lovagethread.gateway.store.ObjectStore;
 import org.lovagethread.gateway.store.StoreReply;
@@ -17,7 +19,8 @@
  * <p>The holder counts its deadline from before each renewal was sent. Another gateway takes the lease after it has seen
  * the object unchanged for longer than the lease. Each term has a higher fencing number. A clock that stands still while
  * the process is suspended is noticed by comparing it with the time of day: any disagreement ends the term until the
- * store has confirmed it again.
+ * store has confirmed it again. A holder that does not reach the store resigns when its deadline has passed and tells its
+ * peers, so that a successor need not wait.
  */
 public final class DutyLease {
     /** Time for which a renewal permits duties, in milliseconds. */
@@ -38,6 +41,9 @@
     /** Time after which a call to the store that was not answered is passed over, in milliseconds. */
     private static final long CALL_LOST_MILLIS = 1_500;
 
+    /** Number of resigned terms that are remembered. */
+    private static final int MOST_RESIGNED_TERMS = 64;
+
     private static final String NAME = "lease";
     private static final String HOLDER = "holder";
     private static final String TERM = "term";
@@ -47,8 +53,11 @@
     private final ObjectStore store;
     private final String holder;
     private final Clocks clocks;
+    private final Consumer<Boolean> storeAnswered;
+    private final Set<String> peerResignedTerms = new LinkedHashSet<>();
     private Optional<Held> held = Optional.empty();
     private Optional<StoredObject> seen = Optional.empty();
+    private Optional<String> resignedTerm = Optional.empty();
     private String writtenTerm = "";
     private long seenSinceMillis;
     private long nextMillis;
@@ -56,6 +65,7 @@
     private boolean calling;
     private long terms;
     private long callNumber;
+    private long lastFence;
 
     /** The two clocks of an instance. */
     public interface Clocks {
@@ -83,11 +93,13 @@
      * @param store the store
      * @param holder the name of this gateway with its incarnation
      * @param clocks the clocks of the instance
+     * @param storeAnswered told whether the store answered a call
      */
-    public DutyLease(ObjectStore store, String holder, Clocks clocks) {
+    public DutyLease(ObjectStore store, String holder, Clocks clocks, Consumer<Boolean> storeAnswered) {
         this.store = store;
         this.holder = holder;
         this.clocks = clocks;
+        this.storeAnswered = storeAnswered;
     }
 
     /**
@@ -122,8 +134,7 @@
     public void tick(boolean candidate) {
         long now = clocks.steadyMillis();
         if (held.isPresent() && !holds()) {
-            held = Optional.empty();
-            seen = Optional.empty();
+            expire(held.get());
         }
         if (calling && now - callSentMillis > CALL_LOST_MILLIS) {
             calling = false;
@@ -140,6 +151,26 @@
         }
     }
 
+    /**
+     * Returns the last term that this gateway held until its deadline and will not act in again.
+     *
+     * @return the term, or empty if there is none
+     */
+    public Optional<String> resignedTerm() {
+        return resignedTerm;
+    }
+
+    /**
+     * Takes the word of a peer that it will not act in a term again.
+     *
+     * @param term the term; an empty text if there is none
+     */
+    public void peerResigned(String term) {
+        if (!term.isEmpty() && peerResignedTerms.add(term) && peerResignedTerms.size() > MOST_RESIGNED_TERMS) {
+            peerResignedTerms.remove(peerResignedTerms.iterator().next());
+        }
+    }
+
     /** Gives the lease up at once, so that another gateway can take it. */
     public void release() {
         if (held.isPresent() && !paused(held.get())) {
@@ -151,10 +182,22 @@
         nextMillis = Long.MAX_VALUE;
     }
 
+    /** Ends a term whose deadline has passed; calls that were started in it have timed out by then. */
+    private void expire(Held term) {
+        if (!paused(term)) {
+            resignedTerm = Optional.of(writtenTerm);
+            writtenTerm = "";
+            callNumber++;
+            calling = false;
+        }
+        held = Optional.empty();
+        seen = Optional.empty();
+    }
+
     private void look() {
         long mine = called();
         store.read(ObjectKind.DUTIES, NAME, reply -> {
-            if (answered(mine)) {
+            if (answered(mine, reply)) {
                 looked(reply);
             }
         });
@@ -170,7 +213,8 @@
             return;
         }
         StoredObject object = reply.value().get();
-        boolean free = object.content().path(HOLDER).asText().isEmpty();
+        String term = object.content().path(TERM).asText();
+        boolean free = object.content().path(HOLDER).asText().isEmpty() || peerResignedTerms.contains(term);
         if (seen.filter(old -> old.revision() == object.revision()).isEmpty()) {
             seen = Optional.of(object);
             seenSinceMillis = now;
@@ -187,7 +231,7 @@
         long steady = clocks.steadyMillis();
         long wall = clocks.wallMillis();
         store.create(ObjectKind.DUTIES, NAME, content(holder, writtenTerm, 1, 0), reply -> {
-            if (answered(mine)) {
+            if (answered(mine, reply)) {
                 written(reply, steady, wall);
             }
         });
@@ -203,7 +247,7 @@
         long steady = clocks.steadyMillis();
         long wall = clocks.wallMillis();
         store.replace(ObjectKind.DUTIES, expected, content(holder, writtenTerm, fence, renewal), reply -> {
-            if (answered(mine)) {
+            if (answered(mine, reply)) {
                 written(reply, steady, wall);
             }
         });
@@ -215,9 +259,11 @@
             return;
         }
         StoredObject object = reply.value().get();
-        boolean ours = object.content().path(TERM).asText().equals(writtenTerm);
+        boolean ours =
+                !writtenTerm.isEmpty() && object.content().path(TERM).asText().equals(writtenTerm);
         if (reply.status() == Status.OK && ours) {
-            held = Optional.of(new Held(object, object.content().path(FENCE).asLong(), steady, wall));
+            lastFence = object.content().path(FENCE).asLong();
+            held = Optional.of(new Held(object, lastFence, steady, wall));
         } else if (ours) {
             resume(object);
         } else {
@@ -253,7 +299,8 @@
         return callNumber;
     }
 
-    private boolean answered(long number) {
+    private boolean answered(long number, StoreReply<StoredObject> reply) {
+        storeAnswered.accept(reply.answered());
         if (number != callNumber) {
             return false;
         }
@@ -271,11 +318,11 @@
     }
 
     /**
-     * Returns the object as it was last seen, for logs.
+     * Returns the fencing number of the last term of this gateway, for logs.
      *
-     * @return the content, or empty if none was seen
+     * @return the number, or zero if it never held the lease
      */
-    public Optional<JsonNode> lastSeen() {
-        return seen.map(StoredObject::content);
+    public long lastFence() {
+        return lastFence;
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
@@ -7,12 +7,15 @@
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.lovagethread.gateway.config.Customer;
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.config.ServiceSpec;
+import org.lovagethread.gateway.config.ServiceSpec.EngineSpec;
 import org.lovagethread.gateway.duty.DutyApi.FleetOrder;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.policy.FleetPlanner;
 import org.lovagethread.gateway.policy.FleetPlanner.ZoneFleet;
+import org.lovagethread.gateway.policy.SlidingPeak;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -39,15 +42,15 @@
     private final EventLog log;
     private final Map<Subject, Integer> accepted = new HashMap<>();
     private final Map<Subject, Long> nextTryMillis = new HashMap<>();
-    private final Map<String, Peak> peaks = new HashMap<>();
+    private final Map<String, Long> nextProbeMillis = new HashMap<>();
+    private final Map<String, SlidingPeak> peaks = new HashMap<>();
     private final Map<String, Integer> firstFleet = new HashMap<>();
+    private final Map<String, List<FleetOrder>> planned = new HashMap<>();
     private OptionalLong term = OptionalLong.empty();
 
     /** What an order is about. */
     private record Subject(String service, String zone, boolean reclaimable) {}
 
-    private record Peak(int needed, long deadlineMillis) {}
-
     /**
      * Creates a manager.
      *
@@ -77,7 +80,7 @@
         List<FleetOrder> plan = new ArrayList<>();
         for (ServiceSpec service : configuration.services().values()) {
             if (service.fleet().isPresent() && service.engine().isPresent()) {
-                plan.addAll(plan(service, tokensPerSecond, now));
+                plan.addAll(plan(configuration, service, tokensPerSecond, now));
             }
         }
         OptionalLong number = fence.get();
@@ -92,15 +95,16 @@
         plan.forEach(order -> give(order, number.getAsLong(), now));
     }
 
-    private List<FleetOrder> plan(ServiceSpec service, double tokensPerSecond, long nowMillis) {
-        double inFlight = 0;
+    private List<FleetOrder> plan(
+            GatewayConfiguration configuration, ServiceSpec service, double tokensPerSecond, long nowMillis) {
+        double generating = 0;
         Map<String, ZoneFleet> zones = new HashMap<>();
         for (String zone : service.fleet().orElseThrow().zonePrices().keySet()) {
             zones.put(zone, new ZoneFleet(zone, 0, 0));
         }
         for (Upstream upstream : upstreams.available(service.name())) {
             UpstreamEntry entry = upstream.entry();
-            inFlight += upstream.load().total(nowMillis).inFlight();
+            generating += upstream.load().total(nowMillis).generating();
             zones.computeIfPresent(
                     entry.zone(),
                     (zone, fleet) -> new ZoneFleet(
@@ -115,15 +119,40 @@
             firstFleet.merge(service.name(), atWork, Math::max);
         }
         int declared = firstFleet.getOrDefault(service.name(), 0);
-        int present = Math.max(
-                planner.floor(declared),
-                planner.needed(service.engine().orElseThrow(), new FleetPlanner.Load(inFlight, tokensPerSecond)));
-        Peak peak = peaks.get(service.name());
-        if (peak == null || present >= peak.needed() || nowMillis >= peak.deadlineMillis()) {
-            peak = new Peak(present, nowMillis + PEAK_MILLIS);
-            peaks.put(service.name(), peak);
+        int present = planner.floor(declared);
+        EngineSpec engine = service.engine().orElseThrow();
+        if (tokensPerSecond > 0) {
+            present = Math.max(
+                    present, planner.needed(engine, new FleetPlanner.Load(generating, tokensPerSecond, atWork)));
+        } else {
+            present = Math.max(present, planner.expected(engine, quotaTokensPerSecond(configuration)));
+        }
+        int needed = peaks.computeIfAbsent(service.name(), name -> new SlidingPeak(PEAK_MILLIS))
+                .add(present, nowMillis);
+        List<FleetOrder> orders = planner.plan(service, List.copyOf(zones.values()), needed);
+        if (!orders.equals(planned.put(service.name(), orders)) && fence.get().isPresent()) {
+            log.add(log.line("fleet-plan")
+                    .put("service", service.name())
+                    .put("needed", needed)
+                    .put("present_need", present)
+                    .put("generating", (long) generating)
+                    .put("tokens_per_second", (long) tokensPerSecond)
+                    .put(
+                            "reclaimable",
+                            zones.values().stream()
+                                    .mapToInt(ZoneFleet::reclaimable)
+                                    .sum())
+                    .put(
+                            "steady",
+                            zones.values().stream().mapToInt(ZoneFleet::steady).sum()));
         }
-        return planner.plan(service, List.copyOf(zones.values()), peak.needed());
+        return orders;
+    }
+
+    private static double quotaTokensPerSecond(GatewayConfiguration configuration) {
+        return configuration.customers().stream()
+                .mapToDouble(Customer::tokensPerSecond)
+                .sum();
     }
 
     private void give(FleetOrder order, long number, long nowMillis) {
@@ -132,6 +161,12 @@
         if (known || nextTryMillis.getOrDefault(subject, 0L) > nowMillis) {
             return;
         }
+        if (order.reclaimable() && nextProbeMillis.containsKey(order.service())) {
+            if (nextProbeMillis.get(order.service()) > nowMillis) {
+                return;
+            }
+            nextProbeMillis.put(order.service(), nowMillis + REFUSED_MILLIS);
+        }
         nextTryMillis.put(subject, nowMillis + REFUSED_MILLIS);
         api.order(number, order, outcome -> ordered(subject, order, outcome));
     }
@@ -146,6 +181,10 @@
         if (outcome == DutyApi.Outcome.ACCEPTED) {
             accepted.put(subject, order.count());
             nextTryMillis.remove(subject);
+            nextProbeMillis.remove(order.service());
+        } else if (outcome == DutyApi.Outcome.REFUSED && order.reclaimable()) {
+            nextTryMillis.remove(subject);
+            nextProbeMillis.putIfAbsent(order.service(), steady.getAsLong() + REFUSED_MILLIS);
         } else {
             long pause = outcome == DutyApi.Outcome.REFUSED ? REFUSED_MILLIS : UNKNOWN_MILLIS;
             nextTryMillis.put(subject, steady.getAsLong() + pause);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageLedger.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageLedger.java
@@ -80,12 +80,20 @@
     }
 
     /**
-     * Returns the counts of this gateway.
+     * Returns the counts of this gateway for the newest windows.
      *
+     * @param windows the number of windows
      * @return counts by window and customer
      */
-    public Map<Long, Map<String, Long>> own() {
-        return own;
+    public Map<Long, Map<String, Long>> newestOwn(int windows) {
+        Map<Long, Map<String, Long>> newest = new HashMap<>();
+        for (Map.Entry<Long, Map<String, Long>> entry : own.descendingMap().entrySet()) {
+            if (newest.size() == windows) {
+                break;
+            }
+            newest.put(entry.getKey(), entry.getValue());
+        }
+        return newest;
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -18,7 +18,6 @@
 import org.lovagethread.wire.generated.CustomerUse;
 import org.lovagethread.wire.generated.GatewayDatagram;
 import org.lovagethread.wire.generated.GatewayState;
-import org.lovagethread.wire.generated.UpstreamUse;
 import org.lovagethread.wire.generated.WindowCount;
 
 /**
@@ -34,8 +33,8 @@
     /** Time between two sends of a summary, in milliseconds. */
     private static final long TELL_MILLIS = 250;
 
-    /** Number of usage windows in a summary. */
-    private static final int TOLD_WINDOWS = 3;
+    /** Number of summaries of which one has the counts of usage. */
+    private static final int SUMMARIES_A_COUNT = 4;
 
     private final Gateway gateway;
     private final CellTable cells;
@@ -55,7 +54,7 @@
 
     /** Returns the address of the speaker of this cell. */
     String speaker(long nowMillis) {
-        return gateway.peers().speaker(gateway.ready(), nowMillis);
+        return gateway.peers().speaker(gateway.ready(), gateway.sync().mayFollow(), nowMillis);
     }
 
     /** Tells whether this gateway may leave the watches of the store to the speaker of its cell. */
@@ -65,7 +64,7 @@
         }
         return gateway.peers()
                 .find(speaker(nowMillis))
-                .filter(peer -> peer.live(nowMillis) && peer.state().getStoreReachable())
+                .filter(peer -> peer.live(nowMillis))
                 .isPresent();
     }
 
@@ -78,7 +77,7 @@
             sequence++;
             gateway.sendToPeers(
                     GatewayDatagram.newBuilder().addCells(summary(nowMillis)).build(), targets(nowMillis));
-            List<CellState> others = cells.live(nowMillis);
+            List<CellState> others = tellsCounts() ? cells.liveWithCounts(nowMillis) : cells.live(nowMillis);
             if (!others.isEmpty()) {
                 gateway.sendToPeers(
                         GatewayDatagram.newBuilder().addAllCells(others).build(),
@@ -88,8 +87,12 @@
     }
 
     void heard(List<CellState> summaries, long nowMillis) {
+        if (!summaries.isEmpty()) {
+            gateway.peers().summaryHeard(nowMillis);
+        }
         for (CellState state : summaries) {
-            if (gateway.peers().celled() && cells.heard(state, nowMillis)) {
+            takeCounts(state);
+            if (cells.heard(state, nowMillis)) {
                 take(state, nowMillis);
                 if (summaries.size() == 1 && !speaks(nowMillis)) {
                     GatewayDatagram relayed =
@@ -119,7 +122,7 @@
         String zone = gateway.settings().zone();
         return cells.live(nowMillis).stream()
                 .anyMatch(state -> state.getLeader()
-                        || (state.getReadyHostsCount() > 0 && state.getZone().compareTo(zone) < 0));
+                        || (state.getStoreReachable() && state.getZone().compareTo(zone) < 0));
     }
 
     /** Returns the number of gateways in cells that are not heard any more. */
@@ -135,20 +138,18 @@
     private void take(CellState state, long nowMillis) {
         String cell = CELL + state.getZone();
         state.getLeavingUpstreamsList().forEach(mark -> gateway.upstreams().leaving(mark, nowMillis));
-        Map<String, UpstreamLoad.Work> uses = new HashMap<>();
-        for (UpstreamUse use : state.getUsesList()) {
-            uses.put(
-                    use.getUpstream(),
-                    new UpstreamLoad.Work(use.getInFlight(), use.getUnreadTokens(), use.getMemoryTokens()));
-        }
-        for (Upstream upstream : gateway.upstreams().all()) {
-            UpstreamLoad.Work work = uses.getOrDefault(upstream.entry().id(), UpstreamLoad.Work.NONE);
-            upstream.load().heard(cell, work, nowMillis);
-        }
+        state.getResignedTermsList().forEach(gateway.lease()::peerResigned);
+        UpstreamUses.take(state.getUsesList(), cell, gateway.upstreams(), nowMillis);
         state.getCustomersList().forEach(use -> gateway.quota()
                 .heard(CELL + state.getSpeaker(), use.getCustomer(), use.getTokens(), nowMillis));
-        state.getWindowsList().forEach(count -> gateway.usage()
-                .heard(cell, count.getWindow(), count.getCustomer(), count.getRequests()));
+    }
+
+    /** Takes the counts of usage, which only grow, from any summary, since the next ones may have none. */
+    private void takeCounts(CellState state) {
+        if (!state.getZone().equals(gateway.settings().zone())) {
+            state.getWindowsList().forEach(count -> gateway.usage()
+                    .heard(CELL + state.getZone(), count.getWindow(), count.getCustomer(), count.getRequests()));
+        }
     }
 
     /** Returns one address for each other zone: its speaker, or in turn one of its instances until one answers. */
@@ -186,7 +187,9 @@
                 .setUpstreamsRevision(gateway.sync().upstreamsRevision())
                 .addAllLeavingUpstreams(gateway.upstreams().leavingMarks());
         boolean leader = gateway.lease().holds();
+        gateway.lease().resignedTerm().ifPresent(state::addResignedTerms);
         int members = 1;
+        boolean reaches = gateway.ready() && gateway.sync().mayFollow();
         if (gateway.ready()) {
             state.addReadyHosts(gateway.settings().host());
         }
@@ -194,35 +197,45 @@
             GatewayState word = peer.state();
             members++;
             leader |= word.getLeader();
+            if (!word.getResignedTerm().isEmpty()) {
+                state.addResignedTerms(word.getResignedTerm());
+            }
             if (word.getReady() && !word.getStopping()) {
                 state.addReadyHosts(word.getHost());
+                reaches |= word.getStoreReachable();
             }
         }
-        state.setLeader(leader).setMembers(members);
+        state.setLeader(leader).setMembers(members).setStoreReachable(reaches);
         addUses(state, nowMillis);
         gateway.quota()
                 .cellTotals(CELL)
                 .forEach((customer, tokens) -> state.addCustomers(
                         CustomerUse.newBuilder().setCustomer(customer).setTokens(tokens)));
+        if (tellsCounts()) {
+            addCounts(state);
+        }
+        return state.build();
+    }
+
+    private boolean tellsCounts() {
+        return sequence % SUMMARIES_A_COUNT == 0;
+    }
+
+    private void addCounts(CellState.Builder state) {
         gateway.usage()
-                .newest(TOLD_WINDOWS, CELL)
+                .newest(PeerExchange.TOLD_WINDOWS, CELL)
                 .forEach((window, counts) ->
                         counts.forEach((customer, requests) -> state.addWindows(WindowCount.newBuilder()
                                 .setWindow(window)
                                 .setCustomer(customer)
                                 .setRequests(requests))));
-        return state.build();
     }
 
     private void addUses(CellState.Builder state, long nowMillis) {
         for (Upstream upstream : gateway.upstreams().all()) {
             UpstreamLoad.Work work = upstream.load().totalExcept(CELL, nowMillis);
             if (work.inFlight() > 0) {
-                state.addUses(UpstreamUse.newBuilder()
-                        .setUpstream(upstream.entry().id())
-                        .setInFlight(work.inFlight())
-                        .setUnreadTokens((int) Math.min(Integer.MAX_VALUE, work.unreadTokens()))
-                        .setMemoryTokens((int) Math.min(Integer.MAX_VALUE, work.memoryTokens())));
+                state.addUses(UpstreamUses.encode(upstream.entry().id(), work));
             }
         }
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -416,7 +416,7 @@
         }
         attempt = null;
         stalledByCaller = false;
-        last.upstream.load().ended(last.promptRead ? 0 : last.choice.unreadTokens(), last.memoryTokens);
+        last.upstream.load().ended(last.promptRead, last.choice.unreadTokens(), last.memoryTokens);
         if (!last.ended && last.send != null) {
             last.send.cancel();
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -79,6 +79,7 @@
     private final PeerExchange exchange;
     private final Shutdown shutdown;
     private long ticks;
+    private boolean heldLease;
 
     /**
      * Creates a gateway that does not listen yet.
@@ -101,7 +102,7 @@
         this.retries = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindowMillis());
         this.usage = new UsageLedger(bounds.usageWindowMillis(), this::trueMillis);
         this.sync = new StateSync(ports.store(), ports.decoder(), upstreams, this, log);
-        this.lease = new DutyLease(ports.store(), settings.node() + '#' + incarnation, this);
+        this.lease = new DutyLease(ports.store(), settings.node() + '#' + incarnation, this, sync::called);
         this.reporter = new UsageReporter(
                 ports.store(),
                 ports.duties(),
@@ -131,10 +132,7 @@
         listen(peerAddress(), channel -> SimpleServer.accept(channel, this::peerAnswer));
         exchange.open(loop);
         log.add(log.line("started").put("incarnation", incarnation).put("zone", settings.zone()));
-        loop.execute(() -> {
-            sync.start();
-            exchange.start();
-        });
+        loop.execute(exchange::start);
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -192,6 +190,7 @@
         exchange.tick(nowMillis);
         if (ticks % 5 == 0) {
             lease.tick(sync.complete() && !front.draining() && exchange.eldest(nowMillis));
+            noteLease();
             reporter.tick();
             configuration().ifPresent(inForce -> fleet.tick(inForce, quota.tokensPerSecond(nowMillis)));
         }
@@ -204,6 +203,15 @@
         }
     }
 
+    private void noteLease() {
+        if (lease.holds() != heldLease) {
+            heldLease = lease.holds();
+            log.add(log.line(heldLease ? "lease-taken" : "lease-lost")
+                    .put("fence", lease.lastFence())
+                    .put("store_reachable", sync.link().reachable()));
+        }
+    }
+
     private SimpleServer.Answer entryAnswer(FullHttpRequest request) {
         if (ports.entry().readinessCheck(request.uri())) {
             return SimpleServer.Answer.empty(ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HttpCaller.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HttpCaller.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -37,6 +38,12 @@
     /** Time for which an idle connection is used again, in milliseconds. */
     private static final long IDLE_MILLIS = 2_500;
 
+    /** Time without bytes after which an answer that has begun is given up, in milliseconds. */
+    private static final long ARRIVING_MILLIS = 700;
+
+    /** Time after which an answer is given up although it is still arriving, in milliseconds. */
+    private static final long MOST_ARRIVING_MILLIS = 10_000;
+
     private static final int MOST_ANSWER_BYTES = 16 * 1024 * 1024;
     private static final int MOST_LINE_BYTES = 8_192;
     private static final int CHUNK_BYTES = 65_536;
@@ -62,7 +69,8 @@
      * @param uri the path with the query
      * @param headers headers besides those that frame the body
      * @param body the body; may be empty
-     * @param timeoutMillis the time after which the call counts as unanswered, in milliseconds
+     * @param timeoutMillis the time after which the call counts as unanswered unless its answer is arriving, in
+     *     milliseconds
      */
     public record Call(
             InetSocketAddress address,
@@ -119,6 +127,7 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
                                 .addLast(new HttpClientCodec(MOST_LINE_BYTES, MOST_LINE_BYTES, CHUNK_BYTES))
+                                .addLast(connection.new Progress())
                                 .addLast(new HttpObjectAggregator(MOST_ANSWER_BYTES))
                                 .addLast(connection);
                     }
@@ -143,6 +152,8 @@
         private ScheduledFuture<?> timeout;
         private boolean sent;
         private long idleSinceNanos;
+        private long lastBytesNanos;
+        private long giveUpNanos;
 
         private Connection(InetSocketAddress address) {
             this.address = address;
@@ -156,6 +167,8 @@
             call = next;
             waiting = reply;
             sent = false;
+            lastBytesNanos = Long.MIN_VALUE;
+            giveUpNanos = System.nanoTime() + (next.timeoutMillis() + MOST_ARRIVING_MILLIS) * NANOS_PER_MILLI;
             timeout = loop.schedule(this::timedOut, next.timeoutMillis(), TimeUnit.MILLISECONDS);
         }
 
@@ -180,7 +193,12 @@
         }
 
         private void timedOut() {
-            if (waiting != null) {
+            long now = System.nanoTime();
+            boolean arriving =
+                    lastBytesNanos != Long.MIN_VALUE && now - lastBytesNanos < ARRIVING_MILLIS * NANOS_PER_MILLI;
+            if (waiting != null && arriving && now < giveUpNanos) {
+                timeout = loop.schedule(this::timedOut, ARRIVING_MILLIS, TimeUnit.MILLISECONDS);
+            } else if (waiting != null) {
                 finish(Reply.none(sent));
                 channel.close();
             }
@@ -227,5 +245,14 @@
             finish(Reply.none(sent));
             channel.close();
         }
+
+        /** Notes that parts of an answer arrive. */
+        private final class Progress extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object part) {
+                lastBytesNanos = System.nanoTime();
+                ctx.fireChannelRead(part);
+            }
+        }
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -1,7 +1,5 @@
 package org.lovagethread.gateway.http;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
@@ -16,23 +14,18 @@
 import java.util.function.Consumer;
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.config.GatewayConfiguration;
+import org.lovagethread.gateway.peer.GatewayRegistry;
 import org.lovagethread.gateway.peer.PeerLink;
 import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.peer.PeerTable.Peer;
 import org.lovagethread.gateway.policy.AddressPolicy.Entrance;
-import org.lovagethread.gateway.store.KindWatcher;
-import org.lovagethread.gateway.store.ObjectKind;
-import org.lovagethread.gateway.store.ObjectStore;
 import org.lovagethread.gateway.store.StateSync;
-import org.lovagethread.gateway.store.StoreReply;
-import org.lovagethread.gateway.store.StoredObject;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
 import org.lovagethread.wire.generated.CellState;
 import org.lovagethread.wire.generated.CustomerUse;
 import org.lovagethread.wire.generated.GatewayDatagram;
 import org.lovagethread.wire.generated.GatewayState;
-import org.lovagethread.wire.generated.UpstreamUse;
 import org.lovagethread.wire.generated.WindowCount;
 
 /** Tells peers the state of this gateway and takes in theirs. */
@@ -43,9 +36,24 @@
     /** Path at which a gateway serves its upstreams to peers. */
     static final String UPSTREAMS_URI = "/upstreams";
 
-    /** Time between two sends of the state, in milliseconds. */
+    /** Time between two sends of the state while all gateways hear each other, in milliseconds. */
     private static final long TELL_MILLIS = 140;
 
+    /** Time between two sends of the state within a cell, in milliseconds. */
+    private static final long TELL_CELL_MILLIS = 200;
+
+    /** Time between two sends of the counts of usage and of the gateways that are heard, in milliseconds. */
+    private static final long TELL_COUNTS_MILLIS = 900;
+
+    /** Time that a gateway of a cell leaves to each stronger one before it follows the store, in milliseconds. */
+    private static final long TURN_MILLIS = 500;
+
+    /** The most turns that a gateway waits. */
+    private static final int MOST_TURNS = 3;
+
+    /** Number of usage windows that are told: those of which no report may have been sent yet. */
+    static final int TOLD_WINDOWS = 3;
+
     /** Time for which a peer may have a later configuration before it is fetched, in milliseconds. */
     private static final long LAG_MILLIS = 200;
 
@@ -59,27 +67,30 @@
     private static final long FETCH_MILLIS = 400;
 
     private static final long FETCH_TIMEOUT_MILLIS = 2_000;
-    private static final KindWatcher.Times MEMBER_TIMES = new KindWatcher.Times(20_000, 1_500);
-    private static final long REGISTER_RETRY_MILLIS = 500;
-    private static final String HOST = "host";
-    private static final String ZONE = "zone";
-    private static final String CAPACITY = "capacity";
 
     private final Gateway gateway;
     private final HttpCaller http;
     private final CellExchange cells;
+    private final GatewayRegistry registry;
     private final Map<String, Long> laggingSince = new HashMap<>();
     private final Set<String> fetching = new HashSet<>();
-    private final Map<String, String> registered = new HashMap<>();
     private PeerLink link;
     private long sequence;
     private long nextTellMillis;
+    private long nextCountsMillis;
     private long nextFetchMillis;
 
     PeerExchange(Gateway gateway, HttpCaller http) {
         this.gateway = gateway;
         this.http = http;
         this.cells = new CellExchange(gateway, gateway.settings().zone());
+        this.registry = new GatewayRegistry(
+                gateway.ports().store(),
+                gateway.settings(),
+                gateway.peers(),
+                gateway,
+                () -> gateway.front().draining(),
+                gateway.log());
     }
 
     void open(EventLoop loop) throws InterruptedException {
@@ -90,14 +101,13 @@
     void start() {
         long now = gateway.nowMillis();
         gateway.settings().seeds().forEach(host -> gateway.peers().add(new PeerTable.Place(host, "", 0, now)));
-        new KindWatcher(gateway.ports().store(), ObjectKind.GATEWAYS, MEMBER_TIMES, gateway, new Members()).start();
-        register();
+        registry.start(this::follow);
     }
 
     void tick(long nowMillis) {
         if (nowMillis >= nextTellMillis) {
-            nextTellMillis = nowMillis + TELL_MILLIS;
-            forget(gateway.peers().expire(nowMillis), nowMillis);
+            nextTellMillis = nowMillis + (gateway.peers().celled() ? TELL_CELL_MILLIS : TELL_MILLIS);
+            keepRegistry(nowMillis);
             GatewayDatagram datagram =
                     GatewayDatagram.newBuilder().setState(state(nowMillis)).build();
             link.send(datagram, gateway.peers().hosts());
@@ -107,6 +117,28 @@
         cells.tick(nowMillis);
     }
 
+    /**
+     * Begins to follow the store. In a cell the strongest gateway does so first, since what it learns reaches the others
+     * from it in less time than a large configuration needs to be read by all at once.
+     */
+    private void follow() {
+        long turn = gateway.peers().celled() ? Math.min(gateway.peers().rank(), MOST_TURNS) : 0;
+        gateway.after(turn * TURN_MILLIS, () -> {
+            if (gateway.sync().follows()) {
+                gateway.sync().start();
+            }
+        });
+    }
+
+    private void keepRegistry(long nowMillis) {
+        List<String> gone = gateway.peers().expire(nowMillis);
+        boolean keeps = cells.speaks(nowMillis);
+        if (keeps && !gone.isEmpty()) {
+            registry.forget(gone);
+        }
+        registry.tick(keeps, gateway.peers().live(nowMillis).isEmpty(), nowMillis);
+    }
+
     void send(GatewayDatagram datagram, Set<String> hosts) {
         link.send(datagram, hosts);
     }
@@ -116,18 +148,6 @@
         return cells.silent(nowMillis);
     }
 
-    /** Removes the registrations of gateways that are gone for good. */
-    private void forget(List<String> hosts, long nowMillis) {
-        if (hosts.isEmpty() || !cells.speaks(nowMillis)) {
-            return;
-        }
-        registered.forEach((name, host) -> {
-            if (hosts.contains(host)) {
-                gateway.ports().store().remove(ObjectKind.GATEWAYS, name, reply -> {});
-            }
-        });
-    }
-
     /** Returns the gateways that accept requests, with this one. */
     List<Entrance> gateways(long nowMillis) {
         List<Entrance> entrances = new ArrayList<>();
@@ -162,24 +182,6 @@
         return true;
     }
 
-    private void register() {
-        ObjectStore store = gateway.ports().store();
-        ObjectNode content = JsonNodeFactory.instance.objectNode();
-        content.put(HOST, gateway.settings().host());
-        content.put(ZONE, gateway.settings().zone());
-        content.put(CAPACITY, gateway.settings().capacity());
-        store.create(ObjectKind.GATEWAYS, gateway.settings().node(), content, reply -> {
-            boolean other = reply.status() == StoreReply.Status.CONFLICT
-                    && reply.value().isPresent()
-                    && !host(reply.value().get()).equals(gateway.settings().host());
-            if (other) {
-                store.replace(ObjectKind.GATEWAYS, reply.value().get(), content, replaced -> {});
-            } else if (!reply.answered() && !gateway.front().draining()) {
-                gateway.after(REGISTER_RETRY_MILLIS, this::register);
-            }
-        });
-    }
-
     private GatewayState state(long nowMillis) {
         sequence++;
         GatewayState.Builder state = GatewayState.newBuilder()
@@ -195,37 +197,42 @@
                         .map(GatewayConfiguration::version)
                         .orElse(-1L))
                 .setUpstreamsRevision(gateway.sync().upstreamsRevision())
-                .setStoreReachable(gateway.sync().link().reachable())
+                .setStoreReachable(gateway.sync().mayFollow())
                 .setLeader(gateway.lease().holds())
                 .setCapacity(gateway.settings().capacity())
+                .setKnownGateways(gateway.peers().known())
                 .addAllLeavingUpstreams(gateway.upstreams().leavingMarks());
-        gateway.peers()
-                .live(nowMillis)
-                .forEach(peer -> state.addHeardHosts(peer.state().getHost()));
+        gateway.lease().resignedTerm().ifPresent(state::setResignedTerm);
         addUses(state);
         gateway.quota()
                 .totals()
                 .forEach((customer, tokens) -> state.addCustomers(
                         CustomerUse.newBuilder().setCustomer(customer).setTokens(tokens)));
+        if (nowMillis >= nextCountsMillis) {
+            nextCountsMillis = nowMillis + TELL_COUNTS_MILLIS;
+            addCounts(state, nowMillis);
+        }
+        return state.build();
+    }
+
+    private void addCounts(GatewayState.Builder state, long nowMillis) {
+        gateway.peers()
+                .live(nowMillis)
+                .forEach(peer -> state.addHeardHosts(peer.state().getHost()));
         gateway.usage()
-                .own()
+                .newestOwn(TOLD_WINDOWS)
                 .forEach((window, counts) ->
                         counts.forEach((customer, requests) -> state.addWindows(WindowCount.newBuilder()
                                 .setWindow(window)
                                 .setCustomer(customer)
                                 .setRequests(requests))));
-        return state.build();
     }
 
     private void addUses(GatewayState.Builder state) {
         for (Upstream upstream : gateway.upstreams().all()) {
             UpstreamLoad.Work work = upstream.load().own();
             if (work.inFlight() > 0) {
-                state.addUses(UpstreamUse.newBuilder()
-                        .setUpstream(upstream.entry().id())
-                        .setInFlight(work.inFlight())
-                        .setUnreadTokens((int) Math.min(Integer.MAX_VALUE, work.unreadTokens()))
-                        .setMemoryTokens((int) Math.min(Integer.MAX_VALUE, work.memoryTokens())));
+                state.addUses(UpstreamUses.encode(upstream.entry().id(), work));
             }
         }
     }
@@ -241,6 +248,7 @@
     private void take(GatewayState state, long now) {
         String process = state.getNode() + '#' + state.getIncarnation();
         gateway.clock().heard(state.getNode(), state.getWallClockMillis(), now);
+        gateway.lease().peerResigned(state.getResignedTerm());
         for (String mark : state.getLeavingUpstreamsList()) {
             if (gateway.upstreams().leaving(mark, now)) {
                 gateway.log()
@@ -250,16 +258,7 @@
                                 .put("source", process));
             }
         }
-        Map<String, UpstreamLoad.Work> uses = new HashMap<>();
-        for (UpstreamUse use : state.getUsesList()) {
-            uses.put(
-                    use.getUpstream(),
-                    new UpstreamLoad.Work(use.getInFlight(), use.getUnreadTokens(), use.getMemoryTokens()));
-        }
-        for (Upstream upstream : gateway.upstreams().all()) {
-            UpstreamLoad.Work work = uses.getOrDefault(upstream.entry().id(), UpstreamLoad.Work.NONE);
-            upstream.load().heard(state.getNode(), work, now);
-        }
+        UpstreamUses.take(state.getUsesList(), state.getNode(), gateway.upstreams(), now);
         state.getCustomersList()
                 .forEach(use -> gateway.quota().heard(process, use.getCustomer(), use.getTokens(), now));
         state.getWindowsList().forEach(count -> gateway.usage()
@@ -296,7 +295,7 @@
             return;
         }
         long since = laggingSince.computeIfAbsent(host, key -> nowMillis);
-        boolean patient = sync.follows() && nowMillis - since < LAG_MILLIS;
+        boolean patient = sync.follows() && sync.complete() && nowMillis - since < LAG_MILLIS;
         if (patient || nowMillis < nextFetchMillis) {
             return;
         }
@@ -332,51 +331,4 @@
     private void unreadable(String reason) {
         gateway.log().add(gateway.log().line("peer-state-unreadable").put("reason", reason));
     }
-
-    private static String host(StoredObject object) {
-        return object.content().path(HOST).asText();
-    }
-
-    private final class Members implements KindWatcher.Observer {
-        @Override
-        public void listed(List<StoredObject> objects, long revision) {
-            registered.clear();
-            objects.forEach(this::add);
-        }
-
-        @Override
-        public void changed(ObjectStore.Change change, long revision) {
-            String name = change.object().name();
-            if (!change.removed()) {
-                add(change.object());
-                return;
-            }
-            String host = registered.remove(name);
-            if (name.equals(gateway.settings().node()) && !gateway.front().draining()) {
-                register();
-            } else if (host != null) {
-                gateway.peers().remove(host);
-            }
-        }
-
-        @Override
-        public void called(boolean answered) {
-            gateway.metrics().state("members_watch_answered", answered ? 1 : 0);
-        }
-
-        @Override
-        public void failed(RuntimeException fault) {
-            gateway.log().add(gateway.log().line("store-change-failed").put("reason", fault.toString()));
-        }
-
-        private void add(StoredObject object) {
-            registered.put(object.name(), host(object));
-            gateway.peers()
-                    .add(new PeerTable.Place(
-                            host(object),
-                            object.content().path(ZONE).asText(),
-                            object.content().path(CAPACITY).asInt(),
-                            gateway.nowMillis()));
-        }
-    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/CellTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/CellTable.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.lovagethread.wire.generated.CellState;
+import org.lovagethread.wire.generated.WindowCount;
 
 /** Keeps the last summary of each other cell. Used by one thread. */
 public final class CellTable {
@@ -24,7 +25,8 @@
         this.selfZone = selfZone;
     }
 
-    private record Heard(CellState state, long heardMillis) {}
+    /** A summary without its counts of usage, and the counts of the last summary that had any. */
+    private record Heard(CellState state, List<WindowCount> counts, long heardMillis) {}
 
     /**
      * Takes a summary.
@@ -42,7 +44,11 @@
         if (sameSpeaker && state.getSequence() <= known.state().getSequence()) {
             return false;
         }
-        byZone.put(state.getZone(), new Heard(state, nowMillis));
+        List<WindowCount> counts = state.getWindowsList();
+        if (counts.isEmpty() && known != null) {
+            counts = known.counts();
+        }
+        byZone.put(state.getZone(), new Heard(state.toBuilder().clearWindows().build(), counts, nowMillis));
         return true;
     }
 
@@ -50,7 +56,7 @@
      * Returns the summaries that were lately heard.
      *
      * @param nowMillis the present time in milliseconds
-     * @return summaries in the order of their zones
+     * @return summaries in the order of their zones, without counts of usage
      */
     public List<CellState> live(long nowMillis) {
         List<CellState> live = new ArrayList<>();
@@ -62,6 +68,22 @@
         return live;
     }
 
+    /**
+     * Returns the summaries that were lately heard, with the last counts of usage of each zone.
+     *
+     * @param nowMillis the present time in milliseconds
+     * @return summaries in the order of their zones
+     */
+    public List<CellState> liveWithCounts(long nowMillis) {
+        List<CellState> live = new ArrayList<>();
+        for (Heard heard : byZone.values()) {
+            if (nowMillis - heard.heardMillis() < SILENT_MILLIS) {
+                live.add(heard.state().toBuilder().addAllWindows(heard.counts()).build());
+            }
+        }
+        return live;
+    }
+
     /**
      * Returns the summary of a zone if it was lately heard.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/PeerTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/PeerTable.java
@@ -24,6 +24,9 @@
     /** Age from which a peer that is not heard counts as gone for good, in milliseconds. */
     public static final long GONE_MILLIS = 25_000;
 
+    /** Time after a summary of a cell for which gateways are divided into cells, in milliseconds. */
+    private static final long SUMMARIES_MILLIS = 5_000;
+
     /** The most gateways that all hear each other. */
     public static final int MOST_MESH = 12;
 
@@ -34,6 +37,8 @@
     private final Map<String, Place> places = new LinkedHashMap<>();
     private final Place self;
     private boolean celled;
+    private boolean summaries;
+    private long summariesUntilMillis;
 
     /**
      * An instance on which a gateway is registered or was heard of.
@@ -124,9 +129,23 @@
             return false;
         }
         byHost.put(host, new Peer(state, nowMillis));
+        divide();
         return true;
     }
 
+    /**
+     * Notes that a summary of a cell was heard, which proves that there are many gateways even if few are known.
+     *
+     * @param nowMillis the present time in milliseconds
+     */
+    public void summaryHeard(long nowMillis) {
+        summariesUntilMillis = nowMillis + SUMMARIES_MILLIS;
+        if (!summaries) {
+            summaries = true;
+            divide();
+        }
+    }
+
     /**
      * Forgets peers that have been silent for long.
      *
@@ -134,6 +153,8 @@
      * @return the IP addresses of those forgotten
      */
     public List<String> expire(long nowMillis) {
+        summaries = nowMillis < summariesUntilMillis;
+        divide();
         List<String> gone = new ArrayList<>();
         for (Place place : places.values()) {
             Peer peer = byHost.get(place.host());
@@ -171,7 +192,7 @@
     }
 
     /**
-     * Returns the registered instances of another availability zone, the strongest first.
+     * Returns the registered instances of an availability zone without this one, the strongest first.
      *
      * @param zone the availability zone
      * @return the instances
@@ -188,24 +209,46 @@
     }
 
     /**
-     * Returns the address of the gateway that speaks for this cell: the strongest that accepts requests.
+     * Returns the rank of this gateway among those registered in its availability zone, the strongest first.
+     *
+     * @return zero for the strongest
+     */
+    public int rank() {
+        return (int) places(self.zone()).stream()
+                .filter(place -> STRONGEST_FIRST.compare(place, self) < 0)
+                .count();
+    }
+
+    /**
+     * Returns the address of the gateway that speaks for this cell: the strongest that accepts requests and reaches the
+     * store, or the strongest that accepts requests if none reaches it.
      *
      * @param selfReady whether this gateway accepts requests
+     * @param selfReaches whether this gateway may reach the store
      * @param nowMillis the present time in milliseconds
      * @return an IP address; this gateway's own if no other is fit
      */
-    public String speaker(boolean selfReady, long nowMillis) {
+    public String speaker(boolean selfReady, boolean selfReaches, long nowMillis) {
         List<Place> fit = new ArrayList<>();
+        List<Place> reaching = new ArrayList<>();
         if (selfReady) {
             fit.add(self);
+            if (selfReaches) {
+                reaching.add(self);
+            }
         }
         for (Peer peer : live(nowMillis)) {
             GatewayState state = peer.state();
             if (state.getReady() && !state.getStopping()) {
-                fit.add(new Place(state.getHost(), state.getZone(), state.getCapacity(), nowMillis));
+                Place place = new Place(state.getHost(), state.getZone(), state.getCapacity(), nowMillis);
+                fit.add(place);
+                if (state.getStoreReachable()) {
+                    reaching.add(place);
+                }
             }
         }
-        return fit.stream().min(STRONGEST_FIRST).map(Place::host).orElse(self.host());
+        List<Place> candidates = reaching.isEmpty() ? fit : reaching;
+        return candidates.stream().min(STRONGEST_FIRST).map(Place::host).orElse(self.host());
     }
 
     /**
@@ -244,11 +287,24 @@
     }
 
     /**
-     * Returns the number of gateways, with this one, that may be at work.
+     * Returns the number of gateways, with this one, that may be at work, as far as this one or a peer knows.
      *
      * @return the number of gateways; at least one
      */
     public int size() {
+        int size = places.size() + 1;
+        for (Peer peer : byHost.values()) {
+            size = Math.max(size, peer.state().getKnownGateways());
+        }
+        return size;
+    }
+
+    /**
+     * Returns the number of gateways that this one has itself been told of, for its peers.
+     *
+     * @return the number of gateways with this one
+     */
+    public int known() {
         return places.size() + 1;
     }
 
@@ -266,8 +322,8 @@
 
     /** Divides the gateways into cells when there are many, and joins them only when there are clearly fewer. */
     private void divide() {
-        int gateways = places.size() + 1;
-        celled = gateways > MOST_MESH || (celled && gateways > MOST_MESH / 2);
+        int gateways = size();
+        celled = summaries || gateways > MOST_MESH || (celled && gateways > MOST_MESH / 2);
     }
 
     private boolean inCell(Place place) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
@@ -15,15 +15,27 @@
  * instances taken away at once with none to be had for a while, and traffic that rises within seconds.
  */
 public final class FleetPlanner {
-    /** Share of the slots of an engine that are in use at the planned load. */
-    private static final double PLANNED_SLOT_SHARE = 0.50;
+    /** Share of the slots that generate at the planned load, of those that reading prompts leaves. */
+    private static final double PLANNED_SLOT_SHARE = 0.6;
 
-    /** Share of an engine's time that is spent on reading prompts at the planned load. */
-    private static final double PLANNED_READ_SHARE = 0.60;
+    /** Share of the tokens that requests bring and ask for which engines have to read. */
+    private static final double READ_SHARE = 0.6;
+
+    /** Requests that generate for each engine that is busy with reading, where nothing is known of the load yet. */
+    private static final double GENERATING_PER_READER = 24;
+
+    /** Share of the customers' quotas that is expected when traffic begins. */
+    private static final double EXPECTED_QUOTA_SHARE = 0.5;
+
+    /** Part of a fleet's time that reading takes at the most in the correction of a measured load. */
+    private static final double MOST_READING = 0.6;
 
     /** Share of the fleet at the start that is kept at any load. */
     private static final double FLOOR_SHARE = 0.6;
 
+    /** Reclaimable instances that are ordered for each needed one, since several zones may lose theirs in turn. */
+    private static final double SPARE_FACTOR = 1.2;
+
     /** Share of the needed instances that is left if one more zone's reclaimable instances are taken away. */
     private static final double SURVIVING_SHARE = 0.6;
 
@@ -35,10 +47,11 @@
     /**
      * The load of a service.
      *
-     * @param inFlight the requests in progress over all gateways
+     * @param generating the requests over all gateways that have produced an event and are not complete
      * @param tokensPerSecond the tokens that requests bring and ask for, over all gateways
+     * @param instances the instances at work
      */
-    public record Load(double inFlight, double tokensPerSecond) {}
+    public record Load(double generating, double tokensPerSecond, int instances) {}
 
     /**
      * The instances of a service in one availability zone that are at work.
@@ -62,15 +75,38 @@
     /**
      * Returns the number of instances that carry a load.
      *
+     * <p>Reading and generating share an engine's time, so a fleet that reads much generates slowly; the requests that
+     * would generate without that are estimated from the instances at work. Requests that only wait do not count, since
+     * a fleet that is too small would seem to need far too many.
+     *
      * @param engine the properties of the engines
      * @param load the load
      * @return the number of instances; at least one
      */
     public int needed(EngineSpec engine, Load load) {
-        double bySlots = load.inFlight() / (engine.slots() * PLANNED_SLOT_SHARE);
-        double byReading =
-                load.tokensPerSecond() / (Placement.READ_TOKENS_PER_MILLI * MILLIS_PER_SECOND * PLANNED_READ_SHARE);
-        return Math.max(1, (int) Math.ceil(Math.max(bySlots, byReading)));
+        double readers = readers(load.tokensPerSecond());
+        double reading = Math.min(MOST_READING, readers / Math.max(1, load.instances()));
+        return carrying(engine, readers, load.generating() * (1 - reading));
+    }
+
+    /**
+     * Returns the number of instances for traffic that is expected before any was seen.
+     *
+     * @param engine the properties of the engines
+     * @param quotaTokensPerSecond the sum of the customers' quotas; zero if unknown
+     * @return the number of instances; at least one
+     */
+    public int expected(EngineSpec engine, double quotaTokensPerSecond) {
+        double readers = readers(quotaTokensPerSecond * EXPECTED_QUOTA_SHARE);
+        return carrying(engine, readers, readers * GENERATING_PER_READER);
+    }
+
+    private static double readers(double tokensPerSecond) {
+        return READ_SHARE * tokensPerSecond / (Placement.READ_TOKENS_PER_MILLI * MILLIS_PER_SECOND);
+    }
+
+    private static int carrying(EngineSpec engine, double readers, double generating) {
+        return Math.max(1, (int) Math.ceil(readers + generating / (engine.slots() * PLANNED_SLOT_SHARE)));
     }
 
     /**
@@ -85,7 +121,8 @@
         FleetSpec fleet = service.fleet().orElseThrow();
         boolean reclaimableWorth = fleet.reclaimablePrice() > 0 && fleet.reclaimablePrice() < WORTHLESS_PRICE;
         int survivors = Math.max(1, zones.size() - 1);
-        int reclaimableEach = reclaimableWorth ? limited(ceilDiv(needed, survivors), fleet) : 0;
+        int wanted = (int) Math.ceil(needed * SPARE_FACTOR);
+        int reclaimableEach = reclaimableWorth ? limited(ceilDiv(wanted, survivors), fleet) : 0;
         int missing = reclaimableWorth ? missing(zones, needed) : needed;
         List<FleetOrder> orders = new ArrayList<>();
         int left = zones.size();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
@@ -12,7 +12,6 @@
  */
 public final class KindWatcher {
     private static final long FIRST_PAUSE_MILLIS = 80;
-    private static final long MOST_PAUSE_MILLIS = 400;
 
     private final ObjectStore store;
     private final ObjectKind kind;
@@ -23,14 +22,16 @@
     private long revision = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long call;
+    private boolean pausing;
 
     /**
      * How long calls wait.
      *
      * @param waitMillis the longest wait of one call in milliseconds
      * @param settleMillis the pause after a change, in which further changes gather, in milliseconds
+     * @param mostPauseMillis the longest pause after a call that failed, in milliseconds
      */
-    public record Times(long waitMillis, long settleMillis) {}
+    public record Times(long waitMillis, long settleMillis, long mostPauseMillis) {}
 
     /** Learns what the watcher sees. */
     public interface Observer {
@@ -85,6 +86,7 @@
     /** Begins to follow. */
     public void start() {
         call++;
+        pausing = false;
         if (revision < 0) {
             listing = new ArrayList<>();
             list("", call);
@@ -96,6 +98,7 @@
     /** Stops following until {@link #start}; replies that are still to come are passed over. */
     public void pause() {
         call++;
+        pausing = false;
     }
 
     /** Makes the present call again, because the connection that carries it seems to be silent. */
@@ -187,14 +190,23 @@
         }
     }
 
+    /** Makes a call that waits for the end of a pause at once, because the store answers again. */
+    public void storeReturned() {
+        pauseMillis = FIRST_PAUSE_MILLIS;
+        if (pausing) {
+            start();
+        }
+    }
+
     private void again() {
         long mine = call;
+        pausing = true;
         scheduler.after(pauseMillis, () -> {
             if (!stale(mine)) {
                 start();
             }
         });
-        pauseMillis = Math.min(MOST_PAUSE_MILLIS, pauseMillis * 2);
+        pauseMillis = Math.min(times.mostPauseMillis(), pauseMillis * 2);
     }
 
     private boolean stale(long mine) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -26,8 +26,11 @@
  * <p>The version of the configuration never goes back while the process lives.
  */
 public final class StateSync {
-    private static final KindWatcher.Times CONFIGURATION_TIMES = new KindWatcher.Times(5_000, 60);
-    private static final KindWatcher.Times UPSTREAM_TIMES = new KindWatcher.Times(5_000, 120);
+    private static final KindWatcher.Times CONFIGURATION_TIMES = new KindWatcher.Times(5_000, 60, 400);
+    private static final KindWatcher.Times UPSTREAM_TIMES = new KindWatcher.Times(5_000, 250, 1_600);
+
+    /** Time after the last call from which it is unknown whether the store answers, in milliseconds. */
+    private static final long UNKNOWN_MILLIS = 4_000;
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -140,6 +143,15 @@
         return upstreamsRevision;
     }
 
+    /**
+     * Tells whether this gateway could follow the store: the store answers, or was not called for long.
+     *
+     * @return false if the store lately failed to answer
+     */
+    public boolean mayFollow() {
+        return link.reachable() || link.idleMillis(scheduler.nowMillis()) > UNKNOWN_MILLIS;
+    }
+
     /**
      * Returns whether the store answers.
      *
@@ -300,9 +312,18 @@
         }
     }
 
-    private void called(boolean answered) {
+    /**
+     * Takes whether the store answered a call.
+     *
+     * @param answered whether it answered
+     */
+    public void called(boolean answered) {
         if (link.called(answered, scheduler.nowMillis())) {
             log.add(log.line(link.reachable() ? "store-regained" : "store-lost"));
+            if (link.reachable() && follows) {
+                configurations.storeReturned();
+                upstreams.storeReturned();
+            }
         }
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoreLink.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoreLink.java
@@ -10,6 +10,7 @@
 
     private long failingSinceMillis = -1;
     private long returnedMillis = NEVER_MILLIS;
+    private long calledMillis = NEVER_MILLIS;
 
     /**
      * Takes the outcome of a call.
@@ -20,6 +21,7 @@
      */
     public boolean called(boolean answered, long nowMillis) {
         boolean before = reachable();
+        calledMillis = nowMillis;
         if (!answered) {
             failingSinceMillis = failingSinceMillis < 0 ? nowMillis : failingSinceMillis;
         } else {
@@ -58,4 +60,14 @@
     public long awayMillis(long nowMillis) {
         return failingSinceMillis < 0 ? 0 : nowMillis - failingSinceMillis;
     }
+
+    /**
+     * Returns the time since the last outcome.
+     *
+     * @param nowMillis the present time in milliseconds
+     * @return milliseconds, very many if there was no call
+     */
+    public long idleMillis(long nowMillis) {
+        return nowMillis - calledMillis;
+    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamLoad.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamLoad.java
@@ -16,15 +16,20 @@
      * An amount of work.
      *
      * @param inFlight the requests in progress
+     * @param generating those of them that have produced an event
      * @param unreadTokens the prompt tokens of requests without a first event
      * @param memoryTokens the tokens in memory for requests in progress
      */
-    public record Work(int inFlight, long unreadTokens, long memoryTokens) {
+    public record Work(int inFlight, int generating, long unreadTokens, long memoryTokens) {
         /** No work. */
-        public static final Work NONE = new Work(0, 0, 0);
+        public static final Work NONE = new Work(0, 0, 0, 0);
 
-        private Work plus(int requests, long unread, long memory) {
-            return new Work(inFlight + requests, unreadTokens + unread, memoryTokens + memory);
+        private Work plus(Work other) {
+            return new Work(
+                    inFlight + other.inFlight,
+                    generating + other.generating,
+                    unreadTokens + other.unreadTokens,
+                    memoryTokens + other.memoryTokens);
         }
     }
 
@@ -37,7 +42,7 @@
      * @param memoryTokens the tokens that the request keeps in memory
      */
     public void started(long promptTokens, long memoryTokens) {
-        own = own.plus(1, promptTokens, memoryTokens);
+        own = own.plus(new Work(1, 0, promptTokens, memoryTokens));
     }
 
     /**
@@ -46,17 +51,18 @@
      * @param promptTokens the tokens given when it was started
      */
     public void promptRead(long promptTokens) {
-        own = own.plus(0, -promptTokens, 0);
+        own = own.plus(new Work(0, 1, -promptTokens, 0));
     }
 
     /**
      * Notes that a request of this gateway ended.
      *
-     * @param unreadTokens the tokens given when it was started, or zero if its prompt was read
+     * @param promptRead whether it had produced an event
+     * @param promptTokens the tokens given when it was started
      * @param memoryTokens the tokens given when it was started
      */
-    public void ended(long unreadTokens, long memoryTokens) {
-        own = own.plus(-1, -unreadTokens, -memoryTokens);
+    public void ended(boolean promptRead, long promptTokens, long memoryTokens) {
+        own = own.plus(promptRead ? new Work(-1, -1, 0, -memoryTokens) : new Work(-1, 0, -promptTokens, -memoryTokens));
     }
 
     /**
@@ -105,8 +111,7 @@
         Work sum = own;
         for (Map.Entry<String, PeerWord> entry : peers.entrySet()) {
             if (counted.test(entry.getKey())) {
-                Work work = entry.getValue().work();
-                sum = sum.plus(work.inFlight(), work.unreadTokens(), work.memoryTokens());
+                sum = sum.plus(entry.getValue().work());
             }
         }
         return sum;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/DutyLeaseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/DutyLeaseTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lovagethread.gateway.store.FakeStore;
@@ -14,11 +16,12 @@
     /** A gateway with clocks of its own. */
     private final class Instance implements DutyLease.Clocks {
         private final DutyLease lease;
+        private final List<Boolean> outcomes = new ArrayList<>();
         private long steady = 1_000;
         private long wall = 1_000_000;
 
         private Instance(String name) {
-            lease = new DutyLease(store, name, this);
+            lease = new DutyLease(store, name, this, outcomes::add);
         }
 
         @Override
@@ -81,6 +84,43 @@
         }
     }
 
+    @Nested
+    class Resigning {
+        @Test
+        void letsAPeerTakeTheLeaseWithoutWaiting() {
+            runBoth(3_000);
+            store.away(true);
+            one.run(DutyLease.LEASE_MILLIS + 100, false);
+            store.away(false);
+            two.run(1_200, true);
+            assertThat(two.lease.holds()).isFalse();
+
+            two.lease.peerResigned(one.lease.resignedTerm().orElseThrow());
+            two.run(1_200, true);
+            assertThat(two.lease.holds()).isTrue();
+            assertThat(two.lease.fence()).hasValue(2);
+        }
+
+        @Test
+        void endsTheTermForGood() {
+            one.run(3_000, true);
+            store.holds(true);
+            one.run(DutyLease.LEASE_MILLIS + 100, true);
+            assertThat(one.lease.resignedTerm()).isPresent();
+            store.holds(false);
+            one.run(1_000, true);
+            assertThat(one.lease.holds()).isFalse();
+        }
+
+        @Test
+        void isNotSaidWhileTheClocksDisagree() {
+            one.run(3_000, true);
+            one.wall += 6_000;
+            one.run(200, true);
+            assertThat(one.lease.resignedTerm()).isEmpty();
+        }
+    }
+
     @Nested
     class Pausing {
         @Test
@@ -115,6 +155,15 @@
             assertThat(one.lease.fence()).hasValue(1);
         }
 
+        @Test
+        void areToldToThoseWhoAskWhetherTheStoreIsReached() {
+            one.run(3_000, true);
+            assertThat(one.outcomes).isNotEmpty().containsOnly(true);
+            store.away(true);
+            one.run(2_000, true);
+            assertThat(one.outcomes).endsWith(false);
+        }
+
         @Test
         void doNotLetTheTermOutliveItsDeadline() {
             one.run(3_000, true);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/CellTableTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/CellTableTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.lovagethread.wire.generated.CellState;
+import org.lovagethread.wire.generated.WindowCount;
 
 class CellTableTest {
     private final CellTable table = new CellTable("a");
@@ -26,6 +27,20 @@
         assertThat(table.live(20)).hasSize(1);
     }
 
+    @Test
+    void keepsCountsOfUsageUntilNewOnesCome() {
+        WindowCount count = WindowCount.newBuilder()
+                .setWindow(7)
+                .setCustomer("c")
+                .setRequests(3)
+                .build();
+        table.heard(summary("b", "b1#1", 1).toBuilder().addWindows(count).build(), 0);
+        table.heard(summary("b", "b1#1", 2), 250);
+        assertThat(table.live(300).get(0).getWindowsList()).isEmpty();
+        assertThat(table.liveWithCounts(300).get(0).getWindowsList()).containsExactly(count);
+        assertThat(table.liveWithCounts(300).get(0).getSequence()).isEqualTo(2);
+    }
+
     @Test
     void countsTheGatewaysOfCellsThatAreNotHeard() {
         table.heard(summary("b", "b1#1", 1), 0);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/PeerTableTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/PeerTableTest.java
@@ -18,6 +18,7 @@
                 .setIncarnation(incarnation)
                 .setSequence(sequence)
                 .setReady(true)
+                .setStoreReachable(true)
                 .setCapacity(capacity)
                 .build();
     }
@@ -72,10 +73,57 @@
         void areSpokenForByTheStrongestThatIsReady() {
             register("a", 8);
             register("b", 8);
-            assertThat(table.speaker(true, 10)).isEqualTo("a1");
+            assertThat(table.speaker(true, true, 10)).isEqualTo("a1");
             table.heard(word("a3", "a", 1, 1, 150), 10);
-            assertThat(table.speaker(true, 10)).isEqualTo("a3");
-            assertThat(table.speaker(true, 10 + PeerTable.SILENT_MILLIS)).isEqualTo("a1");
+            assertThat(table.speaker(true, true, 10)).isEqualTo("a3");
+            assertThat(table.speaker(true, true, 10 + PeerTable.SILENT_MILLIS)).isEqualTo("a1");
+        }
+
+        @Test
+        void areSpokenForByOneThatReachesTheStoreIfThereIsOne() {
+            register("a", 8);
+            register("b", 8);
+            GatewayState strong = word("a3", "a", 1, 1, 150).toBuilder()
+                    .setStoreReachable(false)
+                    .build();
+            table.heard(strong, 10);
+            table.heard(word("a4", "a", 1, 1, 36), 10);
+            assertThat(table.speaker(true, false, 10)).isEqualTo("a4");
+            GatewayState cutOff = word("a4", "a", 1, 2, 36).toBuilder()
+                    .setStoreReachable(false)
+                    .build();
+            table.heard(cutOff, 20);
+            assertThat(table.speaker(true, false, 20)).isEqualTo("a3");
+        }
+
+        @Test
+        void beginForThoseThatWereRegisteredFirstToo() {
+            register("a", 2);
+            table.summaryHeard(10);
+            assertThat(table.celled()).isTrue();
+            table.heard(
+                    word("a2", "a", 1, 1, 36).toBuilder().setKnownGateways(18).build(), 20);
+            assertThat(table.size()).isEqualTo(18);
+            assertThat(table.known()).isEqualTo(2);
+            table.expire(20_000);
+            assertThat(table.celled()).isTrue();
+        }
+
+        @Test
+        void endWhenNoSummaryIsHeardAndFewGatewaysAreKnown() {
+            register("a", 2);
+            table.summaryHeard(10);
+            table.expire(20_000);
+            assertThat(table.celled()).isFalse();
+        }
+
+        @Test
+        void rankTheirGatewaysAlikeEverywhere() {
+            register("a", 8);
+            register("b", 8);
+            assertThat(table.rank()).isZero();
+            table.add(new Place("a3", "a", 150, 0));
+            assertThat(table.rank()).isEqualTo(1);
         }
 
         @Test
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/FleetPlannerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/FleetPlannerTest.java
@@ -86,12 +86,51 @@
 
     @Nested
     class Need {
+        private static final EngineSpec SMALL = new EngineSpec(12, 450_000);
+        private static final double READERS_PER_TOKEN = 0.6 / 110_000;
+
+        /** Returns the requests that generate in a fleet of a size: more while it reads, and never beyond its slots. */
+        private double generating(double unhindered, double tokensPerSecond, int instances) {
+            double reading = Math.min(0.9, tokensPerSecond * READERS_PER_TOKEN / instances);
+            return Math.min(unhindered / (1 - reading), (double) SMALL.slots() * instances);
+        }
+
         @Test
         void growsWithSlotsAndWithPrompts() {
-            assertThat(planner.needed(ENGINE, new Load(0, 0))).isEqualTo(1);
-            assertThat(planner.needed(ENGINE, new Load(100, 0))).isGreaterThan(planner.needed(ENGINE, new Load(20, 0)));
-            assertThat(planner.needed(ENGINE, new Load(0, 400_000)))
-                    .isGreaterThan(planner.needed(ENGINE, new Load(0, 100_000)));
+            assertThat(planner.needed(ENGINE, new Load(0, 0, 1))).isEqualTo(1);
+            assertThat(planner.needed(ENGINE, new Load(100, 0, 4)))
+                    .isGreaterThan(planner.needed(ENGINE, new Load(20, 0, 4)));
+            assertThat(planner.needed(ENGINE, new Load(0, 400_000, 4)))
+                    .isGreaterThan(planner.needed(ENGINE, new Load(0, 100_000, 4)));
+        }
+
+        @Test
+        void settlesFromAFleetThatIsFarTooSmallWithoutOvershooting() {
+            int instances = 4;
+            int most = 0;
+            for (int step = 0; step < 10; step++) {
+                double generating = generating(59, 391_000, instances);
+                instances = planner.needed(SMALL, new Load(generating, 391_000, instances));
+                most = Math.max(most, instances);
+            }
+            double share = generating(59, 391_000, instances) / (SMALL.slots() * instances);
+            assertThat(share).isBetween(0.4, 0.8);
+            assertThat(most).isLessThanOrEqualTo(instances + 1);
+        }
+
+        @Test
+        void isTheSameForAFleetThatIsLargerThanNeeded() {
+            int small = planner.needed(SMALL, new Load(generating(27, 178_000, 5), 178_000, 5));
+            int large = planner.needed(SMALL, new Load(generating(27, 178_000, 22), 178_000, 22));
+            assertThat(large).isBetween(small - 1, small + 1);
+        }
+
+        @Test
+        void followsTheQuotasBeforeTrafficBegins() {
+            assertThat(planner.expected(SMALL, 0)).isEqualTo(1);
+            int expected = planner.expected(SMALL, 2 * 391_000);
+            int needed = planner.needed(SMALL, new Load(generating(59, 391_000, 10), 391_000, 10));
+            assertThat(expected).isBetween(needed - 2, needed + 2);
         }
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
@@ -16,6 +16,12 @@
     private boolean away;
     private boolean losesAnswers;
     private boolean holds;
+    private int lists;
+
+    /** Returns the number of lists that were asked for. */
+    public int lists() {
+        return lists;
+    }
 
     /** Makes every call fail, or work again. */
     public void away(boolean value) {
@@ -39,7 +45,13 @@
 
     @Override
     public void list(ObjectKind kind, String afterName, Consumer<StoreReply<Page>> reply) {
-        reply.accept(StoreReply.of(Status.REJECTED));
+        lists++;
+        List<StoredObject> found = objects.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(kind.toString()))
+                .map(Map.Entry::getValue)
+                .toList();
+        reply.accept(
+                away ? StoreReply.of(Status.NO_ANSWER) : StoreReply.of(Status.OK, new Page(found, false, revision)));
     }
 
     @Override
@@ -56,7 +68,9 @@
     @Override
     public void create(ObjectKind kind, String name, JsonNode content, Consumer<StoreReply<StoredObject>> reply) {
         StoredObject known = objects.get(kind + name);
-        if (known != null || away) {
+        if (away) {
+            answer(reply, StoreReply.of(Status.NO_ANSWER), false);
+        } else if (known != null) {
             answer(reply, StoreReply.of(Status.CONFLICT, known), false);
         } else {
             answer(reply, StoreReply.of(Status.OK, put(kind, name, content)), true);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
@@ -19,7 +19,7 @@
     private final TreeMap<Long, Runnable> timers = new TreeMap<>();
     private final List<String> seen = new ArrayList<>();
     private final KindWatcher watcher =
-            new KindWatcher(store, ObjectKind.UPSTREAMS, new KindWatcher.Times(5_000, 100), this, this);
+            new KindWatcher(store, ObjectKind.UPSTREAMS, new KindWatcher.Times(5_000, 100, 400), this, this);
     private long now;
 
     /** Keeps the last call, so that a test can answer it. */
@@ -162,4 +162,26 @@
         old.accept(StoreReply.of(Status.OK, new Changes(List.of(new Change(object("a", 9), true)), 9)));
         assertThat(seen).containsExactly("list [a] at 8");
     }
+
+    @Test
+    void goesOnAtOnceWhenTheStoreReturns() {
+        watcher.start();
+        store.listing.accept(StoreReply.of(Status.OK, page(false, 8, "a")));
+        store.watching.accept(StoreReply.of(Status.NO_ANSWER));
+        store.since = 0;
+        watcher.storeReturned();
+        assertThat(store.since).isEqualTo(8);
+        store.since = 0;
+        fireTimers();
+        assertThat(store.since).isZero();
+    }
+
+    @Test
+    void keepsItsWatchWhenTheStoreReturnsMeanwhile() {
+        watcher.start();
+        store.listing.accept(StoreReply.of(Status.OK, page(false, 8, "a")));
+        store.since = 0;
+        watcher.storeReturned();
+        assertThat(store.since).isZero();
+    }
 }
