Write out the equality of records that a restarted process compares

Cause: the generated methods of records are linked through method handles at run time and can't be archived. Ruled out: text concatenation (compiled inline already), lambdas (archived). Change: equality written out for the four records that are keys or are compared; fleet plans are compared by need.

--- a/lovagethread-core/src/main/java/org/lovagethread/core/upstream/PrefixMemory.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/upstream/PrefixMemory.java
@@ -19,7 +19,19 @@
         }
     };
 
-    private record Entry(String prefixKey, String upstream) {}
+    private record Entry(String prefixKey, String upstream) {
+        // Written out: the generated methods are linked at run time, which costs a restarted process tens of
+        // milliseconds.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Entry entry && prefixKey.equals(entry.prefixKey) && upstream.equals(entry.upstream);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * prefixKey.hashCode() + upstream.hashCode();
+        }
+    }
 
     /**
      * Notes that a prompt with a prefix was sent to an upstream.
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -45,11 +46,26 @@
     private final Map<String, Long> nextProbeMillis = new HashMap<>();
     private final Map<String, SlidingPeak> peaks = new HashMap<>();
     private final Map<String, Integer> firstFleet = new HashMap<>();
-    private final Map<String, List<FleetOrder>> planned = new HashMap<>();
+    private final Map<String, Integer> planned = new HashMap<>();
     private OptionalLong term = OptionalLong.empty();
 
     /** What an order is about. */
-    private record Subject(String service, String zone, boolean reclaimable) {}
+    private record Subject(String service, String zone, boolean reclaimable) {
+        // Written out: the generated methods are linked at run time, which costs a restarted process tens of
+        // milliseconds.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Subject subject
+                    && service.equals(subject.service)
+                    && zone.equals(subject.zone)
+                    && reclaimable == subject.reclaimable;
+        }
+
+        @Override
+        public int hashCode() {
+            return Objects.hash(service, zone, reclaimable);
+        }
+    }
 
     /**
      * Creates a manager.
@@ -130,7 +146,8 @@
         int needed = peaks.computeIfAbsent(service.name(), name -> new SlidingPeak(PEAK_MILLIS))
                 .add(present, nowMillis);
         List<FleetOrder> orders = planner.plan(service, List.copyOf(zones.values()), needed);
-        if (!orders.equals(planned.put(service.name(), orders)) && fence.get().isPresent()) {
+        if (!Integer.valueOf(needed).equals(planned.put(service.name(), needed))
+                && fence.get().isPresent()) {
             log.add(log.line("fleet-plan")
                     .put("service", service.name())
                     .put("needed", needed)
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageLedger.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageLedger.java
@@ -32,7 +32,19 @@
         this.trueTime = trueTime;
     }
 
-    private record PeerCustomer(String peer, String customer) {}
+    private record PeerCustomer(String peer, String customer) {
+        // Written out: the generated methods are linked at run time, which costs a restarted process tens of
+        // milliseconds.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof PeerCustomer key && peer.equals(key.peer) && customer.equals(key.customer);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * peer.hashCode() + customer.hashCode();
+        }
+    }
 
     /**
      * Counts a request that began to run now.
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamEntry.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamEntry.java
@@ -1,5 +1,7 @@
 package org.lovagethread.gateway.upstream;
 
+import java.util.Objects;
+
 /**
  * What an upstream says of itself.
  *
@@ -32,4 +34,24 @@
     public UpstreamEntry asLeaving() {
         return new UpstreamEntry(id, service, host, port, zone, slots, true, reclaimable, startedAtMillis);
     }
+
+    // Written out: the generated methods are linked at run time, which costs a restarted process tens of milliseconds.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof UpstreamEntry entry
+                && id.equals(entry.id)
+                && service.equals(entry.service)
+                && host.equals(entry.host)
+                && port == entry.port
+                && zone.equals(entry.zone)
+                && slots == entry.slots
+                && leaving == entry.leaving
+                && reclaimable == entry.reclaimable
+                && startedAtMillis == entry.startedAtMillis;
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(id, service, host, port, zone, slots, leaving, reclaimable, startedAtMillis);
+    }
 }
