--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/GatewayRegistry.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/GatewayRegistry.java
@@ -182,7 +182,7 @@
         }
         gone.forEach(peers::remove);
         if (!settings.host().equals(hostByName.get(settings.node())) && !stopping.getAsBoolean()) {
-            register();
+            again();
         }
         tellFirstOutcome();
     }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/GatewayRegistryTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/GatewayRegistryTest.java
@@ -157,6 +157,16 @@
             assertThat(three.peers.hosts()).containsExactly("10.0.0.1");
         }
 
+        @Test
+        void pausesBeforeItRegistersAgainInAStoreThatDoesNotListIt() {
+            Instance one = new Instance("one", "10.0.0.1");
+            store.hidesFromLists(true);
+            one.registry.start(() -> {});
+            assertThat(store.lists()).isEqualTo(1);
+            one.runLater();
+            assertThat(store.lists()).isEqualTo(2);
+        }
+
         @Test
         void registersAgainWhenItsRegistrationWasRemoved() {
             Instance one = new Instance("one", "10.0.0.1");
@@ -166,6 +176,7 @@
             two.registry.forget(List.of("10.0.0.1"));
             one.now = 60_000;
             one.registry.tick(true, false, one.now);
+            one.runLater();
             Instance three = new Instance("three", "10.0.0.3");
             three.registry.start(() -> {});
             assertThat(three.peers.hosts()).containsExactlyInAnyOrder("10.0.0.1", "10.0.0.2");
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
@@ -16,6 +16,7 @@
     private boolean away;
     private boolean losesAnswers;
     private boolean holds;
+    private boolean hidden;
     private int lists;
 
     /** Returns the number of lists that were asked for. */
@@ -23,6 +24,11 @@
         return lists;
     }
 
+    /** Makes lists empty although there are objects, or complete again. */
+    public void hidesFromLists(boolean value) {
+        hidden = value;
+    }
+
     /** Makes every call fail, or work again. */
     public void away(boolean value) {
         away = value;
@@ -47,7 +53,7 @@
     public void list(ObjectKind kind, String afterName, Consumer<StoreReply<Page>> reply) {
         lists++;
         List<StoredObject> found = objects.entrySet().stream()
-                .filter(entry -> entry.getKey().startsWith(kind.toString()))
+                .filter(entry -> !hidden && entry.getKey().startsWith(kind.toString()))
                 .map(Map.Entry::getValue)
                 .toList();
         reply.accept(
