Log exceptions on callers' connections with the request, and what ends unanswered

A caller saw a complete request end without a response. Such a request left no line: exceptions on a caller's connection were counted by class only, a process that ended did not say how many requests were still in progress, and closed idle connections were not counted.

Adds the line connection-failed with the id of the request and the exception, the number of requests to stopped, and a counter of the connections that the gateway closes without a response, by reason.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -86,6 +86,7 @@
         } else if (responding) {
             queued.add(object);
             if (queued.size() > MAX_QUEUED_OBJECTS) {
+                server.recordClosedConnection(CloseReason.PIPELINE_FULL);
                 channel.close();
             }
         } else {
@@ -102,7 +103,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        server.recordConnectionFailure(cause);
+        server.recordConnectionFailure(cause, request);
         ctx.close();
     }
 
@@ -123,6 +124,7 @@
         boolean isIdle = request == null;
         long limit = isIdle ? limits.idleTimeoutMillis() : limits.headerTimeoutMillis() + limits.idleTimeoutMillis();
         if (nowMillis - lastActiveMillis > limit || (isIdle && lastActiveMillis < idleDeadlineMillis)) {
+            server.recordClosedConnection(isIdle ? CloseReason.IDLE : CloseReason.SLOW_REQUEST);
             closing = true;
             channel.close();
         }
@@ -224,7 +226,7 @@
     }
 
     private void refuseMalformed(Throwable cause) {
-        server.recordConnectionFailure(cause);
+        server.recordConnectionFailure(cause, request);
         responding = true;
         closing = true;
         sendError(cause instanceof TooLongFrameException ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.BAD_REQUEST, 0);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
@@ -91,8 +91,21 @@
         connections.remove(connection);
     }
 
-    void recordConnectionFailure(Throwable cause) {
+    /**
+     * Records an exception on a caller's connection.
+     *
+     * @param cause the exception
+     * @param request the header of the request in progress, or null if there is none
+     */
+    void recordConnectionFailure(Throwable cause, HttpRequest request) {
         gateway.metrics().recordConnectionFailure(cause.getClass().getSimpleName());
+        if (request != null) {
+            gateway.logConnectionFailure(cause, request);
+        }
+    }
+
+    void recordClosedConnection(CloseReason reason) {
+        gateway.metrics().recordClosedConnection(reason.label());
     }
 
     long nowMillis() {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -65,6 +65,7 @@
     private final ClusterClock clock = new ClusterClock();
     private final LogRateLimiter successLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
     private final LogRateLimiter refusedLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
+    private final LogRateLimiter failureLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
     private final LagDetector lagDetector = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AddressPolicy addressPolicy;
@@ -157,7 +158,7 @@
     }
 
     void signalStopped() {
-        log.add(log.line("stopped"));
+        log.add(log.line("stopped").put("requests", callerServer.activeRequests()));
         stopped.countDown();
     }
 
@@ -268,6 +269,16 @@
                 .put("retry_after_ms", refusal.retryAfterMillis()));
     }
 
+    /** Logs an exception that ended a caller's connection while a request was in progress. */
+    void logConnectionFailure(Throwable cause, HttpRequest request) {
+        if (failureLines.tryAcquire(nowMillis())) {
+            log.add(log.line("connection-failed")
+                    .put("omitted_before", failureLines.resetOmitted())
+                    .put("request", ports.headerCodec().readAttributes(request).requestId())
+                    .put("reason", cause.toString()));
+        }
+    }
+
     @Override
     public void onExchangeEnded(Exchange exchange, ExchangeRecord record) {
         AdmittedRequest admitted = record.admitted();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -35,6 +35,11 @@
             .help("Connections of callers that ended with an error.")
             .labelNames("cause")
             .register(registry);
+    private final Counter closedConnections = Counter.builder()
+            .name("lovagethread_connections_closed_total")
+            .help("Connections of callers that the gateway closed without a response, by reason.")
+            .labelNames("reason")
+            .register(registry);
     private final Gauge stateGauges = Gauge.builder()
             .name("lovagethread_state")
             .help("State of the gateway by name.")
@@ -72,6 +77,15 @@
         connectionFailures.labelValues(cause).inc();
     }
 
+    /**
+     * Counts a caller connection that the gateway closed without a response.
+     *
+     * @param reason the label of the reason
+     */
+    public void recordClosedConnection(String reason) {
+        closedConnections.labelValues(reason).inc();
+    }
+
     /**
      * Sets a gauge of the state of the gateway.
      *
