Keep an attempt at a silent upstream until a retry is certain

Callers saw streams cut, and requests ended with 504, although the upstream was only silent for a moment and would have gone on. Beside a change of the configuration or a stop, that is a lost request.

Cause: the inactivity timeout ended the attempt first and asked afterwards whether the request could be sent elsewhere. Without retry budget, another upstream, enough time or attempts, the request was given up. The timeout of a stream was also shorter (0.6 s) than a pause that a healthy upstream may make.

Evidence: of the six tests of ExchangeTest.SilentUpstreams five failed before: the attempt was cancelled without retry budget, without another upstream, while all others failed, for a request that is not a stream, and after 1.2 s.

Change: a silent attempt is abandoned only after the retry has been reserved (attempts, allowed runs, time, budget) and if an upstream without recent failures has not been tried. The pause of a stream that counts as silence is 1.5 s, below the two seconds after which callers abandon a stream.

The same order was looked for in the other failures of an attempt: those are reported by the upstream or the connection, so there is nothing left to keep.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -150,12 +150,8 @@
             onDeadline(nowMillis);
             return;
         }
-        if (attempt != null && !readingPaused && route.isRetryable() && isInactive(nowMillis)) {
-            attempt.upstream.failureDetector().recordUnreachable(nowMillis, InactivityTimeout.AVOIDANCE_MILLIS);
-            onAttemptFailed(
-                    AttemptOutcome.SILENT,
-                    "no data received from the upstream within the inactivity timeout",
-                    nowMillis);
+        if (attempt != null && !readingPaused && isInactive(nowMillis)) {
+            replaceSilentAttempt(nowMillis);
         }
     }
 
@@ -163,8 +159,23 @@
         long inactiveMillis = nowMillis - attempt.lastBytesMillis;
         boolean upstreamActive = attempt.upstream.lastReceivedMillis() > attempt.lastBytesMillis;
         InactivityTimeout timeout = InactivityTimeout.of(route, attempt.firstEventReceived || streamStarted);
-        return inactiveMillis > timeout.timeoutMillis((long) attempt.choice.predictedLatencyMillis(), upstreamActive)
-                && AttemptOutcome.SILENT.allowsRetry(route, possibleRuns + 1);
+        return inactiveMillis > timeout.timeoutMillis((long) attempt.choice.predictedLatencyMillis(), upstreamActive);
+    }
+
+    /**
+     * Retries the request at another upstream because the current one is silent. Keeps the current attempt if no retry
+     * is possible, since a silent upstream may still respond.
+     */
+    private void replaceSilentAttempt(long nowMillis) {
+        boolean alternativeHealthy = context.hasHealthyUpstream(service.name(), triedUpstreams, nowMillis);
+        if (alternativeHealthy && tryReserveRetry(AttemptOutcome.SILENT, possibleRuns + 1, nowMillis)) {
+            attempt.upstream.failureDetector().recordUnreachable(nowMillis, InactivityTimeout.AVOIDANCE_MILLIS);
+            endFailedAttempt(
+                    AttemptOutcome.SILENT,
+                    "no data received from the upstream within the inactivity timeout",
+                    nowMillis);
+            retry(nowMillis);
+        }
     }
 
     private void dispatch(long nowMillis) {
@@ -394,21 +405,33 @@
 
     /** Records the failure of the current attempt, then retries the request or ends the exchange. */
     private void onAttemptFailed(AttemptOutcome outcome, String reason, long nowMillis) {
+        endFailedAttempt(outcome, reason, nowMillis);
+        if (tryReserveRetry(outcome, possibleRuns, nowMillis)) {
+            retry(nowMillis);
+        } else {
+            giveUp(outcome, reason, nowMillis);
+        }
+    }
+
+    private void endFailedAttempt(AttemptOutcome outcome, String reason, long nowMillis) {
         possibleRuns += outcome.mayHaveRun() ? 1 : 0;
         record.recordFailure(outcome, reason, nowMillis);
         endAttempt();
-        boolean retry = attempts < MAX_ATTEMPTS
-                && outcome.allowsRetry(route, possibleRuns)
+    }
+
+    /** Returns whether the request can be retried, and withdraws the retry from the budget if it can. */
+    private boolean tryReserveRetry(AttemptOutcome outcome, int runs, long nowMillis) {
+        return attempts < MAX_ATTEMPTS
+                && outcome.allowsRetry(route, runs)
                 && deadlineMillis - nowMillis >= MIN_ATTEMPT_MILLIS
                 && context.hasUntriedUpstream(service.name(), triedUpstreams)
                 && (!outcome.mayHaveArrived()
                         || context.retryBudget().tryWithdraw(service.name(), context.gatewayCount(), nowMillis));
-        if (retry) {
-            upstreamError = Optional.empty();
-            dispatch(nowMillis);
-        } else {
-            giveUp(outcome, reason, nowMillis);
-        }
+    }
+
+    private void retry(long nowMillis) {
+        upstreamError = Optional.empty();
+        dispatch(nowMillis);
     }
 
     private void giveUp(AttemptOutcome outcome, String reason, long nowMillis) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -54,6 +54,13 @@
                 .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id()));
     }
 
+    /** Returns whether a service has an upstream without recent failures to which a request has not been sent yet. */
+    default boolean hasHealthyUpstream(String service, Set<String> triedUpstreams, long nowMillis) {
+        return upstreams().available(service).stream()
+                .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id())
+                        && !upstream.failureDetector().shouldAvoid(nowMillis));
+    }
+
     /** Returns the number of tokens charged for a request. */
     default long quotaTokens(RequestAttributes attributes, Customer customer) {
         return RequestRouter.quotaTokens(attributes, customer);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/InactivityTimeout.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/InactivityTimeout.java
@@ -24,10 +24,16 @@
     NEXT_EVENT {
         @Override
         public long timeoutMillis(long predictedMillis, boolean upstreamActive) {
-            return upstreamActive ? 1_500 : 600;
+            return STREAM_SILENCE_MILLIS;
         }
     };
 
+    /**
+     * Maximum pause of a stream, in milliseconds. A healthy upstream may pause all its streams for about a second, and
+     * callers abandon a stream after two.
+     */
+    private static final long STREAM_SILENCE_MILLIS = 1_500;
+
     /** Time for which an upstream receives no new requests after a timeout or connection failure, in milliseconds. */
     public static final long AVOIDANCE_MILLIS = 1_500;
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -146,6 +146,86 @@
         }
     }
 
+    @Nested
+    class SilentUpstreams {
+        private Exchange startStream(FakeExchangeContext upstreams) {
+            Exchange exchange = upstreams.start(RouteKind.EVENT_STREAM, true, 2);
+            upstreams.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            upstreams.lastAttempt().sendData("id: 1\ndata: a\n\n");
+            return exchange;
+        }
+
+        private void advance(FakeExchangeContext upstreams, Exchange exchange, long millis) {
+            upstreams.currentMillis += millis;
+            exchange.tick(upstreams.currentMillis);
+        }
+
+        private void endStream(FakeExchangeContext upstreams) {
+            assertThat(upstreams.lastAttempt().cancelled).isFalse();
+            upstreams.lastAttempt().sendData("id: 2\ndata: b\n\n");
+            upstreams.lastAttempt().listener.onEnd();
+        }
+
+        @Test
+        void doNotCutAStreamThatHasNoRetryBudget() {
+            context.retryBudget = new RetryBudget(0, 0, 10_000);
+            Exchange exchange = startStream(context);
+            advance(context, exchange, 1_700);
+            endStream(context);
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        @Test
+        void doNotCutAStreamThatNoOtherUpstreamCanContinue() {
+            FakeExchangeContext single = new FakeExchangeContext(1);
+            Exchange exchange = startStream(single);
+            advance(single, exchange, 1_700);
+            endStream(single);
+            assertThat(single.response).isEqualTo("200 stream complete");
+        }
+
+        @Test
+        void doNotCutAStreamWhoseOtherUpstreamsFail() {
+            Exchange exchange = startStream(context);
+            context.upstreams.all().stream()
+                    .filter(upstream -> !upstream.entry()
+                            .id()
+                            .equals(context.lastAttempt().upstream.id()))
+                    .forEach(upstream -> upstream.failureDetector().recordUnreachable(context.currentMillis, 10_000));
+            advance(context, exchange, 1_700);
+            endStream(context);
+            assertThat(context.attempts).hasSize(1);
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        @Test
+        void doNotEndARequestThatHasNoRetryBudget() {
+            context.retryBudget = new RetryBudget(0, 0, 10_000);
+            Exchange exchange = context.start(RouteKind.IDEMPOTENT, false, 2);
+            advance(context, exchange, 1_000);
+            assertThat(context.lastAttempt().cancelled).isFalse();
+            context.lastAttempt().respond(200, FakeExchangeContext.PROOF, "read");
+            assertThat(context.response).isEqualTo("200 read");
+        }
+
+        @Test
+        void mayPauseAStreamForASecondWithoutARetry() {
+            Exchange exchange = startStream(context);
+            advance(context, exchange, 1_200);
+            endStream(context);
+            assertThat(context.attempts).hasSize(1);
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        @Test
+        void areReplacedBeforeTheCallerAbandonsTheStream() {
+            Exchange exchange = startStream(context);
+            advance(context, exchange, 1_600);
+            assertThat(context.attempts.get(0).cancelled).isTrue();
+            assertThat(context.attempts).hasSize(2);
+        }
+    }
+
     @Nested
     class DisconnectedCaller {
         @Test
