Answer every request that was read before the process ends

Cause: the port for callers stayed open, and the event loop went on reading, until the Java runtime had ended. Requests that were read in that time, and those still in progress at the end of the grace period, ended with the process.

Change: the port is closed at the end of the drain time; from then on idle connections are closed, so no further request is read. The process ends when no connection is left. 0.2 s before it must end, requests in progress get an error that is true (not run, or unknown outcome) instead of a closed connection; streams that have begun are cut, as there is no other way to end them.

The same cause was looked for in SIGHUP: it only reads the settings file on another thread, and closes nothing.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -130,6 +130,22 @@
         }
     }
 
+    /**
+     * Ends the request in progress because the gateway is about to stop, and closes the connection.
+     *
+     * @param nowMillis the current time in milliseconds
+     */
+    void shutDown(long nowMillis) {
+        if (exchange != null) {
+            exchange.onShutdown(nowMillis);
+        } else if (responding && !closing) {
+            sendError(ErrorKind.STOPPING, 0);
+        } else if (!responding) {
+            closing = true;
+            channel.close();
+        }
+    }
+
     /**
      * Returns whether a request is in progress.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
@@ -62,6 +62,17 @@
         return drainStartMillis != Long.MAX_VALUE;
     }
 
+    /**
+     * Ends all requests in progress with a response and closes their connections, because the gateway is about to stop.
+     *
+     * @param nowMillis the current time in milliseconds
+     */
+    void shutDown(long nowMillis) {
+        for (CallerChannelHandler connection : new ArrayList<>(connections)) {
+            connection.shutDown(nowMillis);
+        }
+    }
+
     /**
      * Returns the number of requests in progress.
      *
@@ -71,6 +82,15 @@
         return (int) connections.stream().filter(CallerChannelHandler::isBusy).count();
     }
 
+    /**
+     * Returns the number of open connections.
+     *
+     * @return the number of connections, idle or not
+     */
+    int openConnections() {
+        return connections.size();
+    }
+
     /**
      * Applies the timeouts of connections and requests.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -459,15 +459,31 @@
 
     private void onDeadline(long nowMillis) {
         record.recordReason("deadline");
-        boolean mayHaveRun = attempt != null || possibleRuns > 0;
         if (attempt != null) {
             attempt.upstream.failureDetector().recordOutcome(false, nowMillis);
         }
+        endUnfinished(ErrorKind.OVERLOADED, ErrorKind.DEADLINE_AFTER_SEND, nowMillis);
+    }
+
+    /**
+     * Ends the exchange because the gateway is about to stop.
+     *
+     * @param nowMillis the current time in milliseconds
+     */
+    void onShutdown(long nowMillis) {
+        if (!ended) {
+            record.recordReason("the gateway stops");
+            endUnfinished(ErrorKind.STOPPING, ErrorKind.OUTCOME_UNKNOWN, nowMillis);
+        }
+    }
+
+    /** Ends the exchange with an error that depends on whether the request may have run, or cuts the stream. */
+    private void endUnfinished(ErrorKind ifNotRun, ErrorKind ifMayHaveRun, long nowMillis) {
         if (streamStarted) {
             caller.abort();
             finish("stream-cut", nowMillis);
         } else {
-            refuse(mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : ErrorKind.OVERLOADED, 0, nowMillis);
+            refuse(attempt != null || possibleRuns > 0 ? ifMayHaveRun : ifNotRun, 0, nowMillis);
         }
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -81,6 +82,7 @@
     private final CallerServer callerServer;
     private final PeerExchange peerExchange;
     private final Shutdown shutdown;
+    private Channel callerListener;
     private long ticks;
     private boolean leaseHeld;
 
@@ -129,7 +131,7 @@
      * @throws InterruptedException if the calling thread is interrupted
      */
     public void start() throws InterruptedException {
-        listen(settings.callerAddress(), callerServer::accept);
+        callerListener = listen(settings.callerAddress(), callerServer::accept);
         listen(settings.readinessAddress(), channel -> SimpleHttpServer.accept(channel, this::discoveryResponse));
         listen(settings.directoryAddress(), channel -> SimpleHttpServer.accept(channel, this::discoveryResponse));
         listen(settings.metricsAddress(), channel -> SimpleHttpServer.accept(channel, request -> metricsResponse()));
@@ -162,8 +164,13 @@
         stopped.countDown();
     }
 
-    private void listen(InetSocketAddress address, Consumer<SocketChannel> initializer) throws InterruptedException {
-        new ServerBootstrap()
+    /** Closes the port for callers. Connections that are open stay open. */
+    void stopAccepting() {
+        callerListener.close();
+    }
+
+    private Channel listen(InetSocketAddress address, Consumer<SocketChannel> initializer) throws InterruptedException {
+        return new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -176,7 +183,8 @@
                     }
                 })
                 .bind(address)
-                .sync();
+                .sync()
+                .channel();
     }
 
     private void tick() {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
@@ -11,9 +11,14 @@
     /** Time by which the gateway stops before the platform kills the process, in milliseconds. */
     private static final long EXIT_MARGIN_MILLIS = 400;
 
+    /** Time for sending the last responses, in milliseconds. */
+    private static final long FLUSH_MILLIS = 200;
+
     private final Gateway gateway;
     private final long graceMillis;
     private long startMillis = -1;
+    private boolean accepting = true;
+    private boolean requestsEnded;
     private boolean stopped;
 
     Shutdown(Gateway gateway, GatewaySettings.Bounds bounds) {
@@ -38,12 +43,12 @@
 
     /** Returns the time before which idle connections must have been used to stay open, in milliseconds. */
     long idleDeadlineMillis() {
-        boolean drainEnded = startMillis >= 0 && gateway.nowMillis() - startMillis > CALLER_DRAIN_MILLIS;
-        return drainEnded ? Long.MAX_VALUE : Long.MIN_VALUE;
+        return accepting ? Long.MIN_VALUE : Long.MAX_VALUE;
     }
 
     /**
-     * Stops the gateway when all requests have ended or the grace period is about to end.
+     * Closes the port for callers at the end of the drain time, so that no request is read that the gateway can't
+     * finish. Stops the gateway when all requests have ended, or ends them when the grace period is about to end.
      *
      * @param nowMillis the current time in milliseconds
      */
@@ -52,9 +57,17 @@
             return;
         }
         long elapsedMillis = nowMillis - startMillis;
-        boolean idle =
-                elapsedMillis > CALLER_DRAIN_MILLIS && gateway.callerServer().activeRequests() == 0;
-        if (idle || elapsedMillis > graceMillis - EXIT_MARGIN_MILLIS) {
+        long lastMillis = graceMillis - EXIT_MARGIN_MILLIS;
+        if (accepting && elapsedMillis > Math.min(CALLER_DRAIN_MILLIS, lastMillis - FLUSH_MILLIS)) {
+            accepting = false;
+            gateway.stopAccepting();
+        }
+        if (!requestsEnded && elapsedMillis > lastMillis - FLUSH_MILLIS) {
+            requestsEnded = true;
+            gateway.callerServer().shutDown(nowMillis);
+        }
+        boolean idle = !accepting && gateway.callerServer().openConnections() == 0;
+        if (idle || elapsedMillis > lastMillis) {
             stopped = true;
             gateway.signalStopped();
         }
