Do not take a delay of the gateway for the silence of its upstreams

Callers of a slow gateway could see all their streams cut at one moment, for example when the gateway decoded a large configuration.

Cause: after a delay of the event loop the overdue tick runs before the data that arrived meanwhile is read. All streams had then been without data for longer than the inactivity timeout; their retries used up the budget.

Evidence: ExchangeTest.SilentUpstreams.areNotConfusedWithADelayOfTheGateway failed before (the attempt was cancelled).

Change: inactivity is measured by a clock that advances with the ticks, by no more than the lag threshold for each of them.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -77,17 +77,23 @@
         private HttpResponse response;
         private final ByteBuf buffered = Unpooled.buffer(0);
         private long lastBytesMillis;
+        private long lastBytesObservedMillis;
         private boolean firstEventReceived;
         private long firstEventMillis;
         private boolean responseEnded;
         private long bytesSinceEvent;
 
-        private Attempt(Placement.Choice choice, long memoryTokens, long nowMillis) {
+        private Attempt(Placement.Choice choice, long memoryTokens, long nowMillis, long observedMillis) {
             this.choice = choice;
             this.upstream = choice.upstream();
             this.memoryTokens = memoryTokens;
             this.sentMillis = nowMillis;
-            this.lastBytesMillis = nowMillis;
+            recordBytes(nowMillis, observedMillis);
+        }
+
+        private void recordBytes(long nowMillis, long observedMillis) {
+            lastBytesMillis = nowMillis;
+            lastBytesObservedMillis = observedMillis;
         }
     }
 
@@ -132,7 +138,7 @@
     void onCallerWritable() {
         if (readingPaused && attempt != null && attempt.handle != null) {
             readingPaused = false;
-            attempt.lastBytesMillis = context.nowMillis();
+            attempt.recordBytes(context.nowMillis(), context.observedMillis());
             attempt.handle.setReading(true);
         }
     }
@@ -150,13 +156,13 @@
             onDeadline(nowMillis);
             return;
         }
-        if (attempt != null && !readingPaused && isInactive(nowMillis)) {
+        if (attempt != null && !readingPaused && isInactive()) {
             replaceSilentAttempt(nowMillis);
         }
     }
 
-    private boolean isInactive(long nowMillis) {
-        long inactiveMillis = nowMillis - attempt.lastBytesMillis;
+    private boolean isInactive() {
+        long inactiveMillis = context.observedMillis() - attempt.lastBytesObservedMillis;
         boolean upstreamActive = attempt.upstream.lastReceivedMillis() > attempt.lastBytesMillis;
         InactivityTimeout timeout = InactivityTimeout.of(route, attempt.firstEventReceived || streamStarted);
         return inactiveMillis > timeout.timeoutMillis((long) attempt.choice.predictedLatencyMillis(), upstreamActive);
@@ -221,7 +227,8 @@
         Upstream upstream = choice.upstream();
         attempts++;
         triedUpstreams.add(upstream.entry().id());
-        Attempt newAttempt = new Attempt(choice, demand.promptTokens() + (long) demand.maxOutputTokens(), nowMillis);
+        Attempt newAttempt = new Attempt(
+                choice, demand.promptTokens() + (long) demand.maxOutputTokens(), nowMillis, context.observedMillis());
         attempt = newAttempt;
         upstream.load().recordStart(choice.unreadTokens(), newAttempt.memoryTokens);
         if (service.engine().isPresent()) {
@@ -520,7 +527,7 @@
 
     private void recordActivity() {
         long now = context.nowMillis();
-        attempt.lastBytesMillis = now;
+        attempt.recordBytes(now, context.observedMillis());
         attempt.upstream.recordReceived(now);
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -48,6 +48,12 @@
     /** Returns the current time of the monotonic clock in milliseconds. */
     long nowMillis();
 
+    /**
+     * Returns the time in milliseconds during which the event loop could have read data. It is used for inactivity
+     * timeouts, so that a delay of this gateway does not look like the silence of an upstream.
+     */
+    long observedMillis();
+
     /** Returns whether a service has an upstream to which a request has not been sent yet. */
     default boolean hasUntriedUpstream(String service, Set<String> triedUpstreams) {
         return upstreams().available(service).stream()
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -400,6 +400,11 @@
         return (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
     }
 
+    @Override
+    public long observedMillis() {
+        return lagDetector.observedMillis();
+    }
+
     @Override
     public long monotonicMillis() {
         return nowMillis();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/LagDetector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/LagDetector.java
@@ -15,6 +15,7 @@
 
     private long lastTickMillis;
     private long lagUntilMillis;
+    private long observedMillis;
 
     /**
      * Records a tick.
@@ -25,9 +26,20 @@
         if (nowMillis - lastTickMillis > LAG_THRESHOLD_MILLIS) {
             lagUntilMillis = nowMillis + LAG_RECOVERY_MILLIS;
         }
+        observedMillis += Math.min(nowMillis - lastTickMillis, LAG_THRESHOLD_MILLIS);
         lastTickMillis = nowMillis;
     }
 
+    /**
+     * Returns the time during which the event loop could have read data that arrived. It advances like the clock, but
+     * a delay of the event loop counts for no more than its threshold.
+     *
+     * @return the time since the start in milliseconds
+     */
+    public long observedMillis() {
+        return observedMillis;
+    }
+
     /**
      * Returns whether data read now may have waited for a long time.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -217,6 +217,16 @@
             assertThat(context.response).isEqualTo("200 stream complete");
         }
 
+        @Test
+        void areNotConfusedWithADelayOfTheGateway() {
+            Exchange exchange = startStream(context);
+            context.unobservedMillis = 1_600;
+            advance(context, exchange, 1_700);
+            endStream(context);
+            assertThat(context.attempts).hasSize(1);
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
         @Test
         void areReplacedBeforeTheCallerAbandonsTheStream() {
             Exchange exchange = startStream(context);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -43,6 +43,7 @@
     final UpstreamTable upstreams = new UpstreamTable();
     final UsageLedger usage = new UsageLedger(5_000, this::nowMillis);
     long currentMillis = 1_000;
+    long unobservedMillis;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
     String response = "";
     ExchangeRecord record;
@@ -257,6 +258,11 @@
         return currentMillis;
     }
 
+    @Override
+    public long observedMillis() {
+        return currentMillis - unobservedMillis;
+    }
+
     @Override
     public void onExchangeEnded(Exchange exchange, ExchangeRecord ended) {
         record = ended;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/LagDetectorTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/LagDetectorTest.java
@@ -33,4 +33,11 @@
         tickBetween(4_000, 5_000);
         assertThat(detector.isLagging(5_010)).isFalse();
     }
+
+    @Test
+    void observesOnlyTheThresholdOfAPause() {
+        tickBetween(0, 1_000);
+        tickBetween(3_000, 4_000);
+        assertThat(detector.observedMillis()).isEqualTo(1_000 + 120 + 1_000);
+    }
 }
