Apply a longer idle timeout to the connections that are open

Callers that reused a connection after a change of the configuration had raised the idle timeout found it closed, some with a request under way.

Cause: a connection kept the limits that were in force when it was opened.

Evidence: PlatformNodeTest.IdleTimeout.doesNotCloseConnectionsOpenedUnderAShorterOne opens a connection under a timeout of 1 s and reuses it after 2 s under 10 s.

Change: an idle period has the longest timeout that was in force during it, so a caller that has not seen the change yet finds its connection open, too.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -51,10 +51,12 @@
     private boolean responding;
     private boolean closing;
     private long lastActiveMillis;
+    private long idleTimeoutMillis;
 
     CallerChannelHandler(CallerServer server, ClientLimits limits) {
         this.server = server;
         this.limits = limits;
+        this.idleTimeoutMillis = limits.idleTimeoutMillis();
     }
 
     @Override
@@ -121,8 +123,9 @@
             }
             return;
         }
+        idleTimeoutMillis = Math.max(idleTimeoutMillis, server.limits().idleTimeoutMillis());
         boolean isIdle = request == null;
-        long limit = isIdle ? limits.idleTimeoutMillis() : limits.headerTimeoutMillis() + limits.idleTimeoutMillis();
+        long limit = isIdle ? idleTimeoutMillis : limits.headerTimeoutMillis() + idleTimeoutMillis;
         if (nowMillis - lastActiveMillis > limit || (isIdle && lastActiveMillis < idleDeadlineMillis)) {
             server.recordClosedConnection(isIdle ? CloseReason.IDLE : CloseReason.SLOW_REQUEST);
             closing = true;
@@ -338,6 +341,7 @@
         request = null;
         releaseBody();
         lastActiveMillis = server.nowMillis();
+        idleTimeoutMillis = server.limits().idleTimeoutMillis();
         closing = closing || close;
         responding = close;
         while (!responding && !queued.isEmpty()) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
@@ -36,14 +36,18 @@
      * @param channel the connection
      */
     void accept(SocketChannel channel) {
-        ClientLimits limits =
-                gateway.configuration().map(GatewayConfiguration::limits).orElse(ClientLimits.DEFAULT);
+        ClientLimits limits = limits();
         channel.pipeline()
                 .addLast(new StrictRequestDecoder(limits.maxHeaderBytes()))
                 .addLast(new HttpResponseEncoder())
                 .addLast(new CallerChannelHandler(this, limits));
     }
 
+    /** Returns the limits of the active configuration. */
+    ClientLimits limits() {
+        return gateway.configuration().map(GatewayConfiguration::limits).orElse(ClientLimits.DEFAULT);
+    }
+
     /**
      * Starts draining: from now on connections are closed after each response.
      *
