Answer requests whose processing fails with an exception

A caller could see its connection closed without a response, or wait until its own deadline, if an exception was thrown while its request was processed; an exception in the timeouts of one request also kept those of all later connections from being checked in that tick, and the shutdown from advancing.

Cause: an exception ended the connection if it was thrown while reading; it was only counted, or swallowed by the event loop, if the request was processed by a later task (after a delay of the event loop) or by the tick.

Evidence: GatewayTest.RequestsThatFailWithAnException failed before with "SocketTimeout Read timed out".

Change: the processing of one request is guarded. The request gets an error that is true, the exception is logged with the id of the request, and others go on.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -119,7 +119,8 @@
     void tick(long nowMillis, long idleDeadlineMillis) {
         if (responding) {
             if (exchange != null) {
-                exchange.tick(nowMillis);
+                Exchange current = exchange;
+                guard(() -> current.tick(nowMillis));
             }
             return;
         }
@@ -231,7 +232,25 @@
     /** Passes the request to the server unless the caller has closed its connection in the meantime. */
     private void submit() {
         if (!closing && channel.isActive()) {
-            server.onRequest(this, request, body);
+            guard(() -> server.onRequest(this, request, body));
+        }
+    }
+
+    /**
+     * Runs an action of the current request. If it fails, the request gets an error instead of a closed connection, and
+     * other requests are not affected.
+     */
+    private void guard(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            HttpRequest failed = request;
+            if (exchange != null) {
+                exchange.onInternalError(server.nowMillis());
+            } else if (responding && !closing) {
+                sendError(ErrorKind.OVERLOADED, 0);
+            }
+            server.recordConnectionFailure(e, failed);
         }
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -484,6 +484,18 @@
         }
     }
 
+    /**
+     * Ends the exchange because its processing failed with an exception.
+     *
+     * @param nowMillis the current time in milliseconds
+     */
+    void onInternalError(long nowMillis) {
+        if (!ended) {
+            record.recordReason("internal error");
+            endUnfinished(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.OUTCOME_UNKNOWN, nowMillis);
+        }
+    }
+
     /** Ends the exchange with an error that depends on whether the request may have run, or cuts the stream. */
     private void endUnfinished(ErrorKind ifNotRun, ErrorKind ifMayHaveRun, long nowMillis) {
         if (streamStarted) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -164,6 +164,11 @@
         stopped.countDown();
     }
 
+    /** Returns the address on which callers can connect. */
+    InetSocketAddress boundCallerAddress() {
+        return (InetSocketAddress) callerListener.localAddress();
+    }
+
     /** Closes the port for callers. Connections that are open stay open. */
     void stopAccepting() {
         callerListener.close();
