Keep connections open whose streams began before the shutdown

Cause: a stopping gateway closed the connection after the last event, although the header of the response, sent before the shutdown, had not announced it. At the end of the drain time it closed idle connections the moment after use.

Change: a connection is closed after a response only if the response announced it; the next response does. After the drain time a connection is closed when it has not been used for 0.3 s.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -325,12 +325,12 @@
 
     @Override
     public void endStream() {
+        boolean closeAnnounced = closing;
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        boolean close = mustCloseAfterResponse();
-        if (close) {
+        if (closeAnnounced) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
-        processNextRequest(close);
+        processNextRequest(closeAnnounced);
     }
 
     @Override
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -203,7 +203,7 @@
     private void tick(long nowMillis) {
         ticks++;
         lagDetector.onTick(nowMillis);
-        callerServer.tick(nowMillis, shutdown.idleDeadlineMillis());
+        callerServer.tick(nowMillis, shutdown.idleDeadlineMillis(nowMillis));
         shutdown.tick(nowMillis);
         peerExchange.tick(nowMillis);
         if (ticks % 5 == 0) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
@@ -11,6 +11,9 @@
     /** Time by which the gateway stops before the platform kills the process, in milliseconds. */
     private static final long EXIT_MARGIN_MILLIS = 400;
 
+    /** Time after a response within which a caller may still reuse its connection, in milliseconds. */
+    private static final long REUSE_MILLIS = 300;
+
     /** Time for sending the last responses, in milliseconds. */
     private static final long FLUSH_MILLIS = 200;
 
@@ -41,9 +44,14 @@
         gateway.ports().store().remove(ObjectKind.GATEWAYS, gateway.settings().node(), reply -> {});
     }
 
-    /** Returns the time before which idle connections must have been used to stay open, in milliseconds. */
-    long idleDeadlineMillis() {
-        return accepting ? Long.MIN_VALUE : Long.MAX_VALUE;
+    /**
+     * Returns the time in milliseconds since which idle connections must have been used to stay open.
+     *
+     * @param nowMillis the current time in milliseconds
+     * @return the time; after the drain time shortly before now, since a caller may be about to reuse a connection
+     */
+    long idleDeadlineMillis(long nowMillis) {
+        return accepting ? Long.MIN_VALUE : nowMillis - REUSE_MILLIS;
     }
 
     /**
