Use upstreams again whose entries return after their removal

Cause: the removal of an entry left a leaving mark for 16 s, like an announced shutdown. The entry that came back, in the same response of the watch, was taken for the leaving process, and gateways that had not seen the removal got the mark from their peers. The grace period after an outage did not help, as it was over when the watch of the upstreams answered.

Evidence: UpstreamTableTest.Removal states the cases (returned entry, mark of a peer before and after the return); on the code before, a returned entry was unavailable.

Change: the mark of a removal holds up to the revision at which the entry was missing; an entry of a later revision overrides it, here and at peers. The mark of an announced shutdown still holds for good.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -12,6 +12,7 @@
 import org.lovagethread.gateway.peer.PeerTable.GatewayInstance;
 import org.lovagethread.gateway.peer.PeerTable.Peer;
 import org.lovagethread.gateway.policy.AddressPolicy.GatewayAddress;
+import org.lovagethread.gateway.upstream.LeavingMark;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
 import org.lovagethread.wire.generated.CellState;
@@ -193,7 +194,7 @@
 
     private CellState buildSummary(long nowMillis) {
         PeerTable peers = gateway.peers();
-        Map<String, Long> leavingMarks = gateway.upstreams().leavingMarks(nowMillis);
+        Map<LeavingMark, Long> leavingMarks = gateway.upstreams().leavingMarks(nowMillis);
         CellState.Builder state = CellState.newBuilder()
                 .setZone(gateway.settings().zone())
                 .setSpeaker(gateway.settings().node() + '#' + gateway.incarnation())
@@ -203,7 +204,7 @@
                         .map(GatewayConfiguration::version)
                         .orElse(-1L))
                 .setUpstreamsRevision(gateway.sync().upstreamsRevision())
-                .addAllLeavingUpstreams(leavingMarks.keySet())
+                .addAllLeavingUpstreams(LeavingMarkCodec.texts(leavingMarks))
                 .addAllLeavingRemainingMillis(LeavingMarkCodec.lifetimes(leavingMarks));
         boolean leaderPresent = gateway.lease().isHeld();
         gateway.lease().resignedTerm().ifPresent(state::addResignedTerms);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -215,7 +215,8 @@
         if (ticks % 25 == 0) {
             upstreamClient.tick(nowMillis);
             quota.expire(nowMillis);
-            for (String id : upstreams.expire(nowMillis)) {
+            for (String id : upstreams.expire(
+                    sync.storeHealth().isReachable(), sync.storeHealth().recoveredMillis(), nowMillis)) {
                 log.add(log.line("upstream-gone").put("upstream", id));
             }
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -21,6 +21,7 @@
 import org.lovagethread.gateway.peer.PeerTable.Peer;
 import org.lovagethread.gateway.policy.AddressPolicy.GatewayAddress;
 import org.lovagethread.gateway.store.StateSync;
+import org.lovagethread.gateway.upstream.LeavingMark;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
 import org.lovagethread.wire.generated.CellState;
@@ -194,7 +195,7 @@
 
     private GatewayState buildState(long nowMillis) {
         sequence++;
-        Map<String, Long> leavingMarks = gateway.upstreams().leavingMarks(nowMillis);
+        Map<LeavingMark, Long> leavingMarks = gateway.upstreams().leavingMarks(nowMillis);
         GatewayState.Builder state = GatewayState.newBuilder()
                 .setNode(gateway.settings().node())
                 .setIncarnation(gateway.incarnation())
@@ -212,7 +213,7 @@
                 .setLeader(gateway.lease().isHeld())
                 .setCapacity(gateway.settings().capacity())
                 .setKnownGateways(gateway.peers().knownGateways())
-                .addAllLeavingUpstreams(leavingMarks.keySet())
+                .addAllLeavingUpstreams(LeavingMarkCodec.texts(leavingMarks))
                 .addAllLeavingRemainingMillis(LeavingMarkCodec.lifetimes(leavingMarks));
         gateway.lease().resignedTerm().ifPresent(state::setResignedTerm);
         addUpstreamUses(state);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -287,7 +287,7 @@
         }
         upstreamsListed = true;
         upstreamsRevision = Math.max(upstreamsRevision, revision);
-        upstreamTable.replaceAll(entries, storeHealth.recoveredMillis(), scheduler.nowMillis());
+        upstreamTable.replaceAll(entries, revision, storeHealth.recoveredMillis(), scheduler.nowMillis());
     }
 
     private void logUnreadable(StoredObject object, String reason) {
@@ -300,7 +300,8 @@
         long now = scheduler.nowMillis();
         if (change.isRemoved()) {
             upstreamObjects.remove(object.name());
-            boolean removed = upstreamTable.remove(object.name(), storeHealth.recoveredMillis(), now);
+            boolean removed =
+                    upstreamTable.remove(object.name(), object.revision(), storeHealth.recoveredMillis(), now);
             log.add(log.line("upstream-removed")
                     .put("upstream", object.name())
                     .put("revision", revision)
@@ -311,14 +312,19 @@
         Either<String, UpstreamEntry> decoded = decoder.decodeUpstream(object);
         if (decoded.isLeft()) {
             logUnreadable(object, decoded.getLeft());
-            upstreamTable.remove(object.name(), storeHealth.recoveredMillis(), now);
-        } else if (upstreamTable.put(decoded.get(), now)) {
+            upstreamTable.remove(object.name(), object.revision(), storeHealth.recoveredMillis(), now);
+        } else if (upstreamTable.put(decoded.get(), object.revision(), now)) {
             log.add(log.line("upstream-changed")
                     .put("upstream", object.name())
                     .put("service", decoded.get().service())
                     .put("zone", decoded.get().zone())
                     .put("revision", revision)
-                    .put("leaving", decoded.get().leaving()));
+                    .put(
+                            "leaving",
+                            upstreamTable
+                                    .find(object.name())
+                                    .filter(upstream -> upstream.entry().leaving())
+                                    .isPresent()));
         }
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/Upstream.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/Upstream.java
@@ -13,6 +13,8 @@
     private double averageResponseMillis;
     private double averageDeviation = 1;
     private long lastReceivedMillis;
+    private long revision;
+    private boolean announcedLeaving;
 
     /**
      * Creates an upstream.
@@ -41,6 +43,42 @@
         entry = newEntry;
     }
 
+    /**
+     * Returns the revision of the registration.
+     *
+     * @return the revision of the store
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Sets the revision of the registration.
+     *
+     * @param newRevision the revision of the store
+     */
+    public void revision(long newRevision) {
+        revision = newRevision;
+    }
+
+    /**
+     * Returns whether the process of the upstream has announced its shutdown.
+     *
+     * @return false if it has not, or if only the removal of its entry is known
+     */
+    public boolean hasAnnouncedLeaving() {
+        return announcedLeaving;
+    }
+
+    /**
+     * Sets whether the process of the upstream has announced its shutdown.
+     *
+     * @param announced whether it has
+     */
+    public void announcedLeaving(boolean announced) {
+        announcedLeaving = announced;
+    }
+
     /**
      * Returns the failure detector, which records the outcomes of requests.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamTable.java
@@ -17,8 +17,8 @@
  * that starts when the store recovers. A leaving upstream receives no new requests unless its process has been
  * restarted.
  *
- * <p>A leaving mark identifies one process of an upstream that is leaving or has been removed. Gateways exchange these
- * marks with their remaining lifetimes, so an upstream is also excluded at gateways that have not received its entry.
+ * <p>Gateways exchange their {@link LeavingMark}s with the remaining lifetimes, so an upstream is also excluded at
+ * gateways that have not received its entry. An entry that is listed again after its removal overrides the mark.
  */
 public final class UpstreamTable {
     /** Grace period after a recovery of the store in which missing entries are kept, in milliseconds. */
@@ -28,35 +28,37 @@
     public static final long LEAVING_MARK_MILLIS = 16_000;
 
     private final Map<String, Upstream> byId = new LinkedHashMap<>();
-    private final Map<String, Long> graceEndById = new HashMap<>();
-    private final Map<String, Long> leavingMarkDeadlines = new LinkedHashMap<>();
+    private final Map<String, Grace> graceById = new HashMap<>();
+    private final Map<LeavingMark, Long> leavingMarkDeadlines = new LinkedHashMap<>();
+
+    /** Period in which a missing entry is kept. */
+    private record Grace(long endMillis, long removedRevision) {}
 
     /**
      * Adds or updates an entry.
      *
      * @param entry the entry
+     * @param revision the revision of the entry
      * @param nowMillis the current time in milliseconds
      * @return true if the table changed
      */
-    public boolean put(UpstreamEntry entry, long nowMillis) {
-        graceEndById.remove(entry.id());
+    public boolean put(UpstreamEntry entry, long revision, long nowMillis) {
+        graceById.remove(entry.id());
         Upstream existing = byId.get(entry.id());
-        boolean restarted = existing != null && existing.entry().startedAtMillis() != entry.startedAtMillis();
-        UpstreamEntry effective = entry;
-        if (existing != null && !restarted && existing.entry().leaving()) {
-            effective = entry.asLeaving();
-        }
-        if (effective.leaving()) {
-            leavingMarkDeadlines.putIfAbsent(leavingMark(effective), nowMillis + LEAVING_MARK_MILLIS);
-        } else if (leavingMarkDeadlines.containsKey(leavingMark(effective))) {
-            effective = effective.asLeaving();
+        boolean sameProcess = existing != null && existing.entry().startedAtMillis() == entry.startedAtMillis();
+        boolean announced = entry.leaving() || (sameProcess && existing.hasAnnouncedLeaving());
+        if (announced) {
+            leavingMarkDeadlines.putIfAbsent(LeavingMark.announced(entry), nowMillis + LEAVING_MARK_MILLIS);
         }
-        if (existing == null || restarted) {
-            byId.put(entry.id(), new Upstream(effective));
-            return true;
+        UpstreamEntry effective = announced || isMarked(entry, revision) ? entry.asLeaving() : entry;
+        if (!sameProcess) {
+            existing = new Upstream(effective);
+            byId.put(entry.id(), existing);
         }
-        boolean changed = !existing.entry().equals(effective);
+        boolean changed = !sameProcess || !existing.entry().equals(effective);
         existing.entry(effective);
+        existing.revision(revision);
+        existing.announcedLeaving(leavingMarkDeadlines.containsKey(LeavingMark.announced(entry)) || announced);
         return changed;
     }
 
@@ -64,20 +66,21 @@
      * Removes an entry, or keeps it for the grace period if the store has just recovered.
      *
      * @param id the identifier of the upstream
+     * @param revision the revision of the store at which the entry is missing
      * @param storeRecoveredMillis when the store recovered from its latest outage, in milliseconds
      * @param nowMillis the current time in milliseconds
      * @return true if the upstream was removed; false if it was unknown or is kept for the grace period
      */
-    public boolean remove(String id, long storeRecoveredMillis, long nowMillis) {
+    public boolean remove(String id, long revision, long storeRecoveredMillis, long nowMillis) {
         if (!byId.containsKey(id)) {
             return false;
         }
         long graceEndMillis = storeRecoveredMillis + RECOVERY_GRACE_MILLIS;
         if (nowMillis < graceEndMillis) {
-            graceEndById.putIfAbsent(id, graceEndMillis);
+            graceById.putIfAbsent(id, new Grace(graceEndMillis, revision));
             return false;
         }
-        delete(id, nowMillis);
+        delete(id, revision, nowMillis);
         return true;
     }
 
@@ -85,18 +88,20 @@
      * Replaces all entries by a complete list. Missing entries are removed as by {@link #remove}.
      *
      * @param entries the entries
+     * @param revision the revision of the list
      * @param storeRecoveredMillis when the store recovered from its latest outage, in milliseconds
      * @param nowMillis the current time in milliseconds
      */
-    public void replaceAll(Collection<UpstreamEntry> entries, long storeRecoveredMillis, long nowMillis) {
+    public void replaceAll(
+            Collection<UpstreamEntry> entries, long revision, long storeRecoveredMillis, long nowMillis) {
         Set<String> listed = new HashSet<>();
         for (UpstreamEntry entry : entries) {
             listed.add(entry.id());
-            put(entry, nowMillis);
+            put(entry, revision, nowMillis);
         }
         for (String id : List.copyOf(byId.keySet())) {
             if (!listed.contains(id)) {
-                remove(id, storeRecoveredMillis, nowMillis);
+                remove(id, revision, storeRecoveredMillis, nowMillis);
             }
         }
     }
@@ -109,18 +114,19 @@
      * @param nowMillis the current time in milliseconds
      * @return true if an available upstream became leaving
      */
-    public boolean markLeaving(String mark, long remainingMillis, long nowMillis) {
+    public boolean markLeaving(LeavingMark mark, long remainingMillis, long nowMillis) {
         long deadlineMillis = nowMillis + Math.min(LEAVING_MARK_MILLIS, remainingMillis);
         if (leavingMarkDeadlines.putIfAbsent(mark, deadlineMillis) != null) {
             return false;
         }
-        for (Upstream upstream : byId.values()) {
-            if (leavingMark(upstream.entry()).equals(mark) && !upstream.entry().leaving()) {
-                upstream.entry(upstream.entry().asLeaving());
-                return true;
-            }
+        Upstream upstream = byId.get(mark.upstreamId());
+        if (upstream == null || !mark.appliesTo(upstream.entry(), upstream.revision())) {
+            return false;
         }
-        return false;
+        boolean changed = !upstream.entry().leaving();
+        upstream.entry(upstream.entry().asLeaving());
+        upstream.announcedLeaving(upstream.hasAnnouncedLeaving() || mark.isAnnounced());
+        return changed;
     }
 
     /**
@@ -129,8 +135,8 @@
      * @param nowMillis the current time in milliseconds
      * @return the remaining lifetimes of the marks in milliseconds, for {@link #markLeaving} of peers
      */
-    public Map<String, Long> leavingMarks(long nowMillis) {
-        Map<String, Long> remaining = new LinkedHashMap<>();
+    public Map<LeavingMark, Long> leavingMarks(long nowMillis) {
+        Map<LeavingMark, Long> remaining = new LinkedHashMap<>();
         leavingMarkDeadlines.forEach((mark, deadline) -> {
             if (deadline > nowMillis) {
                 remaining.put(mark, deadline - nowMillis);
@@ -140,19 +146,24 @@
     }
 
     /**
-     * Removes the upstreams whose grace period has ended, and expired leaving marks.
+     * Removes the upstreams whose grace period has ended, and expired leaving marks. A grace period starts again when
+     * the store recovers from a further outage.
      *
+     * @param storeReachable whether the store is reachable; no grace period ends while it is not
+     * @param storeRecoveredMillis when the store recovered from its latest outage, in milliseconds
      * @param nowMillis the current time in milliseconds
      * @return the identifiers of the removed upstreams
      */
-    public List<String> expire(long nowMillis) {
+    public List<String> expire(boolean storeReachable, long storeRecoveredMillis, long nowMillis) {
         List<String> removed = new ArrayList<>();
-        graceEndById.forEach((id, deadline) -> {
-            if (nowMillis >= deadline) {
-                removed.add(id);
-            }
-        });
-        removed.forEach(id -> delete(id, nowMillis));
+        if (storeReachable && nowMillis >= storeRecoveredMillis + RECOVERY_GRACE_MILLIS) {
+            graceById.forEach((id, grace) -> {
+                if (nowMillis >= grace.endMillis()) {
+                    removed.add(id);
+                }
+            });
+        }
+        removed.forEach(id -> delete(id, graceById.get(id).removedRevision(), nowMillis));
         leavingMarkDeadlines.values().removeIf(deadline -> nowMillis >= deadline);
         return removed;
     }
@@ -193,15 +204,18 @@
         return byId.values();
     }
 
-    private void delete(String id, long nowMillis) {
-        graceEndById.remove(id);
+    private void delete(String id, long revision, long nowMillis) {
+        graceById.remove(id);
         Upstream upstream = byId.remove(id);
         if (upstream != null) {
-            leavingMarkDeadlines.putIfAbsent(leavingMark(upstream.entry()), nowMillis + LEAVING_MARK_MILLIS);
+            LeavingMark mark = upstream.hasAnnouncedLeaving()
+                    ? LeavingMark.announced(upstream.entry())
+                    : LeavingMark.removed(upstream.entry(), revision);
+            leavingMarkDeadlines.putIfAbsent(mark, nowMillis + LEAVING_MARK_MILLIS);
         }
     }
 
-    private static String leavingMark(UpstreamEntry entry) {
-        return entry.id() + '@' + entry.startedAtMillis();
+    private boolean isMarked(UpstreamEntry entry, long revision) {
+        return leavingMarkDeadlines.keySet().stream().anyMatch(mark -> mark.appliesTo(entry, revision));
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/FleetManagerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/FleetManagerTest.java
@@ -69,7 +69,7 @@
             }
             for (int i = order.count(); i < present.size(); i++) {
                 instances.remove(present.get(i));
-                upstreams.remove(present.get(i).id(), 0, nowMillis);
+                upstreams.remove(present.get(i).id(), 1, 0, nowMillis);
             }
             replies.add(() -> outcome.accept(Outcome.ACCEPTED));
         }
@@ -92,7 +92,7 @@
             delivered.forEach(Runnable::run);
             instances.stream()
                     .filter(instance -> instance.startMillis() <= nowMillis)
-                    .forEach(instance -> upstreams.put(entry(instance, false), nowMillis));
+                    .forEach(instance -> upstreams.put(entry(instance, false), 1, nowMillis));
         }
 
         /** Removes the instances that were reclaimed. */
@@ -102,14 +102,14 @@
                     .filter(UpstreamEntry::leaving)
                     .map(UpstreamEntry::id)
                     .toList();
-            leaving.forEach(id -> upstreams.remove(id, 0, nowMillis));
+            leaving.forEach(id -> upstreams.remove(id, 1, 0, nowMillis));
         }
 
         private void reclaim(String zone) {
             reclaimableAvailable = false;
             for (Instance instance : instances(zone, true)) {
                 instances.remove(instance);
-                upstreams.put(entry(instance, true), nowMillis);
+                upstreams.put(entry(instance, true), 1, nowMillis);
             }
         }
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -92,7 +92,7 @@
 
     FakeExchangeContext(int upstreamCount) {
         for (int i = 0; i < upstreamCount; i++) {
-            upstreams.put(new UpstreamEntry("i-" + i, "desk", "10.0.0." + i, 80, "a", 6, false, false, 1), 0);
+            upstreams.put(new UpstreamEntry("i-" + i, "desk", "10.0.0." + i, 80, "a", 6, false, false, 1), 1, 0);
         }
     }
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/upstream/UpstreamTableTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/upstream/UpstreamTableTest.java
@@ -21,13 +21,13 @@
         @Test
         void marksAreNotKeptAliveByTwoPeers() {
             UpstreamTable peer = new UpstreamTable();
-            table.put(entry("i-1", true, 1), 0);
+            table.put(entry("i-1", true, 1), 1, 0);
             long endMillis = 3 * UpstreamTable.LEAVING_MARK_MILLIS;
             for (long now = 0; now < endMillis; now += EXCHANGE_INTERVAL_MILLIS) {
                 exchange(table, peer, now);
                 exchange(peer, table, now);
-                table.expire(now);
-                peer.expire(now);
+                table.expire(true, NEVER, now);
+                peer.expire(true, NEVER, now);
             }
             assertThat(table.leavingMarks(endMillis)).isEmpty();
             assertThat(peer.leavingMarks(endMillis)).isEmpty();
@@ -39,38 +39,38 @@
 
         @Test
         void makesUpstreamUnavailable() {
-            table.put(entry("i-1", false, 1), 0);
-            table.put(entry("i-1", true, 1), 10);
+            table.put(entry("i-1", false, 1), 1, 0);
+            table.put(entry("i-1", true, 1), 1, 10);
             assertThat(table.available("pool")).isEmpty();
         }
 
         @Test
         void isNotRevertedByLaterEntryOfSameProcess() {
-            table.put(entry("i-1", true, 1), 0);
-            table.put(entry("i-1", false, 1), 10);
+            table.put(entry("i-1", true, 1), 1, 0);
+            table.put(entry("i-1", false, 1), 1, 10);
             assertThat(table.available("pool")).isEmpty();
         }
 
         @Test
         void endsWhenProcessIsRestarted() {
-            table.put(entry("i-1", true, 1), 0);
-            table.put(entry("i-1", false, 2), 10);
+            table.put(entry("i-1", true, 1), 1, 0);
+            table.put(entry("i-1", false, 2), 1, 10);
             assertThat(table.available("pool")).hasSize(1);
         }
 
         @Test
         void isAppliedFromPeerMarks() {
             UpstreamTable peer = new UpstreamTable();
-            peer.put(entry("i-1", true, 1), 0);
-            table.put(entry("i-1", false, 1), 0);
+            peer.put(entry("i-1", true, 1), 1, 0);
+            table.put(entry("i-1", false, 1), 1, 0);
             peer.leavingMarks(5).forEach((mark, remaining) -> table.markLeaving(mark, remaining, 5));
             assertThat(table.available("pool")).isEmpty();
         }
 
         @Test
         void isAppliedFromPeerMarkReceivedBeforeEntry() {
-            table.markLeaving("i-1@1", UpstreamTable.LEAVING_MARK_MILLIS, 5);
-            table.put(entry("i-1", false, 1), 10);
+            table.markLeaving(LeavingMark.announced(entry("i-1", true, 1)), UpstreamTable.LEAVING_MARK_MILLIS, 5);
+            table.put(entry("i-1", false, 1), 1, 10);
             assertThat(table.available("pool")).isEmpty();
         }
     }
@@ -79,27 +79,66 @@
     class Removal {
         @Test
         void isImmediateWhileStoreIsAvailable() {
-            table.put(entry("i-1", false, 1), 0);
-            assertThat(table.remove("i-1", NEVER, 10)).isTrue();
+            table.put(entry("i-1", false, 1), 1, 0);
+            assertThat(table.remove("i-1", 2, NEVER, 10)).isTrue();
             assertThat(table.available("pool")).isEmpty();
         }
 
         @Test
         void isDeferredDuringGracePeriodAfterOutage() {
-            table.put(entry("i-1", false, 1), 0);
-            assertThat(table.remove("i-1", 5_000, 5_100)).isFalse();
+            table.put(entry("i-1", false, 1), 1, 0);
+            assertThat(table.remove("i-1", 2, 5_000, 5_100)).isFalse();
             assertThat(table.available("pool")).hasSize(1);
-            table.put(entry("i-1", false, 1), 6_000);
-            assertThat(table.expire(8_000)).isEmpty();
+            table.put(entry("i-1", false, 1), 1, 6_000);
+            assertThat(table.expire(true, 5_000, 8_000)).isEmpty();
             assertThat(table.available("pool")).hasSize(1);
         }
 
         @Test
         void takesEffectAfterGracePeriodIfEntryIsStillMissing() {
-            table.put(entry("i-1", false, 1), 0);
-            table.replaceAll(List.of(), 5_000, 5_100);
-            assertThat(table.expire(7_000)).containsExactly("i-1");
+            table.put(entry("i-1", false, 1), 1, 0);
+            table.replaceAll(List.of(), 2, 5_000, 5_100);
+            assertThat(table.expire(true, 5_000, 7_000)).containsExactly("i-1");
             assertThat(table.available("pool")).isEmpty();
         }
+
+        @Test
+        void isRevokedByAnEntryThatIsListedAgain() {
+            table.put(entry("i-1", false, 1), 1, 0);
+            table.remove("i-1", 2, NEVER, 10);
+            table.put(entry("i-1", false, 1), 3, 10);
+            assertThat(table.available("pool")).hasSize(1);
+        }
+
+        @Test
+        void reportedByAPeerDoesNotExcludeAnEntryThatIsListedAgain() {
+            UpstreamTable peer = new UpstreamTable();
+            peer.put(entry("i-1", false, 1), 1, 0);
+            peer.remove("i-1", 2, NEVER, 10);
+            table.put(entry("i-1", false, 1), 3, 10);
+            peer.leavingMarks(20).forEach((mark, remaining) -> table.markLeaving(mark, remaining, 20));
+            assertThat(table.available("pool")).hasSize(1);
+        }
+
+        @Test
+        void reportedByAPeerExcludesAnOlderEntryUntilItIsListedAgain() {
+            UpstreamTable peer = new UpstreamTable();
+            peer.put(entry("i-1", false, 1), 1, 0);
+            peer.remove("i-1", 2, NEVER, 10);
+            table.put(entry("i-1", false, 1), 1, 10);
+            peer.leavingMarks(20).forEach((mark, remaining) -> table.markLeaving(mark, remaining, 20));
+            assertThat(table.available("pool")).isEmpty();
+            table.put(entry("i-1", false, 1), 3, 30);
+            assertThat(table.available("pool")).hasSize(1);
+        }
+
+        @Test
+        void isDeferredWhileTheStoreIsLostAgain() {
+            table.put(entry("i-1", false, 1), 1, 0);
+            table.remove("i-1", 2, 5_000, 5_100);
+            assertThat(table.expire(false, 5_000, 8_000)).isEmpty();
+            assertThat(table.expire(true, 9_000, 9_100)).isEmpty();
+            assertThat(table.expire(true, 9_000, 11_000)).containsExactly("i-1");
+        }
     }
 }
