Do not take refusals without an identifier on reused connections

Callers could be told "not run, try again" (503) for a request that the upstream had run or was running, or such a request was sent to a second upstream: a faulty server writes an earlier refusal once more on a kept connection, and the copy arrives where the next response is expected.

Cause: responses are matched by X-Request-Id, but a response without an identifier was accepted if it stated that the request was not executed, whatever had been received on the connection before. A response with several identifiers was matched by the first of them.

Now a refusal without an identifier is accepted only as the first response of a connection, where it can be no other request's. Later it is skipped like a response with another identifier: the request's own response may still follow, and the connection is not reused. If the request has no identifier either, or if a response names several, the attempt fails as one that may have run.

The former test double stated the identifier "id" for responses without one; it now states what the response contains.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.Set;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 /** Translates between the HTTP headers of callers and upstreams and the types of the gateway. */
@@ -55,10 +56,10 @@
     Optional<String> proofOfOrigin(HttpHeaders headers);
 
     /**
-     * Returns the identifier of the request to which a response belongs.
+     * Returns the identifiers of requests that a response states.
      *
      * @param headers the headers of the response
-     * @return the identifier; empty if not stated
+     * @return the distinct identifiers, none of which is blank; a response that belongs to one request states one
      */
-    Optional<String> responseRequestId(HttpHeaders headers);
+    Set<String> responseRequestIds(HttpHeaders headers);
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -13,7 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Locale;
-import java.util.Optional;
+import java.util.Set;
 import org.lovagethread.gateway.http.UpstreamClient.Listener;
 import org.lovagethread.gateway.http.UpstreamClient.RequestHandle;
 
@@ -21,7 +21,7 @@
  * A connection to an upstream that carries one request at a time.
  *
  * <p>Responses are matched by the request identifier. A response to another request is skipped, and the connection is
- * not reused afterwards.
+ * not reused afterwards. A response without an identifier proves nothing once the connection has carried another one.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
@@ -193,15 +193,14 @@
     }
 
     private void onHeader(HttpResponse response) {
-        Optional<String> responseId = client.headerCodec().responseRequestId(response.headers());
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (informational || responseId.filter(id -> !id.equals(expectedId)).isPresent()) {
+        if (informational || belongsToAnotherRequest(response)) {
             skippingResponse = true;
             reusable = reusable && informational;
             return;
         }
-        if (responseId.isEmpty() && !client.headerCodec().statesNotRun(response)) {
-            fail("response has no request identifier");
+        if (!isAttributable(response)) {
+            fail("response cannot be attributed to the request");
             return;
         }
         bodyLengthKnown = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
@@ -210,6 +209,28 @@
         listener.onHeader(response);
     }
 
+    /**
+     * Returns whether a response certainly or probably belongs to another request. A response without an identifier
+     * may repeat an earlier one unless it is the first on its connection.
+     */
+    private boolean belongsToAnotherRequest(HttpResponse response) {
+        Set<String> ids = client.headerCodec().responseRequestIds(response.headers());
+        return ids.isEmpty() ? !expectedId.isEmpty() && !isFirstResponse() : !ids.contains(expectedId);
+    }
+
+    /** Returns whether a response states the identifier of the request only, or is a refusal that can be no other's. */
+    private boolean isAttributable(HttpResponse response) {
+        Set<String> ids = client.headerCodec().responseRequestIds(response.headers());
+        return ids.isEmpty()
+                ? isFirstResponse() && client.headerCodec().statesNotRun(response)
+                : ids.equals(Set.of(expectedId));
+    }
+
+    /** Returns whether no other response has been received on this connection. */
+    private boolean isFirstResponse() {
+        return requestGeneration == 1 && reusable;
+    }
+
     private void readKeepAlive(HttpResponse response) {
         String value = response.headers().get(HttpHeaderNames.KEEP_ALIVE.toString());
         if (value == null) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.RouteKind;
@@ -137,7 +139,7 @@
     @Override
     public RequestAttributes readAttributes(HttpRequest request) {
         return new RequestAttributes(
-                "id",
+                request.headers().get("X-Request-Id", "id"),
                 Optional.empty(),
                 OptionalLong.of(2_500),
                 OptionalInt.empty(),
@@ -162,8 +164,10 @@
     }
 
     @Override
-    public Optional<String> responseRequestId(HttpHeaders headers) {
-        return Optional.of(headers.get("X-Request-Id", "id"));
+    public Set<String> responseRequestIds(HttpHeaders headers) {
+        return headers.getAll("X-Request-Id").stream()
+                .filter(id -> !id.isBlank())
+                .collect(Collectors.toSet());
     }
 
     @Override
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -0,0 +1,231 @@
+package org.lovagethread.gateway.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
+
+class UpstreamConnectionTest {
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final String REFUSAL = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n";
+    private static final String SUCCESS = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
+
+    private final FakeExchangeContext context = new FakeExchangeContext(0);
+
+    private static String withId(String head, String id) {
+        return head + "X-Request-Id: " + id + "\r\n\r\n";
+    }
+
+    private static String success(String id) {
+        return withId(SUCCESS, id) + "ok";
+    }
+
+    /** Records the response as one line of text. */
+    private static class RecordingListener implements UpstreamClient.Listener {
+        final CompletableFuture<String> outcome = new CompletableFuture<>();
+        private String received = "";
+
+        @Override
+        public void onNotSent() {
+            outcome.complete("not sent");
+        }
+
+        @Override
+        public void onHeader(HttpResponse response) {
+            received += response.status().code() + " ";
+        }
+
+        @Override
+        public void onData(ByteBuf bytes) {
+            received += bytes.toString(StandardCharsets.US_ASCII);
+        }
+
+        @Override
+        public void onEnd() {
+            outcome.complete(received.strip());
+        }
+
+        @Override
+        public void onFailure(String reason) {
+            outcome.complete(received + "failed");
+        }
+
+        String outcomeNow() {
+            return outcome.getNow("waiting");
+        }
+    }
+
+    @Nested
+    class Attribution {
+        private final NettyUpstreamClient client =
+                new NettyUpstreamClient(new DefaultEventLoop(), context, System::currentTimeMillis);
+        private final UpstreamConnection connection = new UpstreamConnection(client, "i-1");
+        private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+
+        private FullHttpRequest request(String id) {
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+            request.headers().set("X-Request-Id", id);
+            return request;
+        }
+
+        private RecordingListener sendFirst(String id) {
+            RecordingListener listener = new RecordingListener();
+            connection.prepare(channel, request(id), listener);
+            connection.onConnected(true);
+            return listener;
+        }
+
+        private RecordingListener sendNext(String id) {
+            RecordingListener listener = new RecordingListener();
+            connection.send(request(id), listener);
+            return listener;
+        }
+
+        private void receive(String bytes) {
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+        }
+
+        @Test
+        void acceptsRefusalWithoutIdentifierAsFirstResponse() {
+            RecordingListener first = sendFirst("a");
+            receive(REFUSAL + "\r\n");
+            assertThat(first.outcomeNow()).isEqualTo("503");
+        }
+
+        @Test
+        void skipsRepeatedRefusalWithoutIdentifier() {
+            RecordingListener first = sendFirst("a");
+            receive(withId(REFUSAL, "a"));
+            RecordingListener second = sendNext("b");
+            receive(REFUSAL + "\r\n");
+            receive(success("b"));
+            assertThat(first.outcomeNow()).isEqualTo("503");
+            assertThat(second.outcomeNow()).isEqualTo("200 ok");
+            assertThat(channel.isActive()).isFalse();
+        }
+
+        @Test
+        void skipsRepeatedRefusalWithBlankIdentifier() {
+            sendFirst("a");
+            receive(withId(REFUSAL, "a"));
+            RecordingListener second = sendNext("b");
+            receive(withId(REFUSAL, ""));
+            receive(success("b"));
+            assertThat(second.outcomeNow()).isEqualTo("200 ok");
+        }
+
+        @Test
+        void skipsRepeatedRefusalWithItsIdentifier() {
+            sendFirst("a");
+            receive(withId(REFUSAL, "a"));
+            RecordingListener second = sendNext("b");
+            receive("HTTP/1.1 102 Processing\r\n\r\n" + withId(REFUSAL, "a") + success("b"));
+            assertThat(second.outcomeNow()).isEqualTo("200 ok");
+            assertThat(channel.isActive()).isFalse();
+        }
+
+        @Test
+        void doesNotAcceptRefusalWithoutIdentifierAfterAnotherResponse() {
+            RecordingListener first = sendFirst("b");
+            receive(withId(REFUSAL, "a"));
+            receive(REFUSAL + "\r\n");
+            receive(success("b"));
+            assertThat(first.outcomeNow()).isEqualTo("200 ok");
+        }
+
+        @Test
+        void rejectsResponseWithSeveralIdentifiers() {
+            sendFirst("a");
+            receive(withId(REFUSAL, "a"));
+            RecordingListener second = sendNext("b");
+            receive(withId(REFUSAL + "X-Request-Id: b\r\n", "a"));
+            assertThat(second.outcomeNow()).isEqualTo("failed");
+            assertThat(channel.isActive()).isFalse();
+        }
+
+        @Test
+        void rejectsRefusalWithoutIdentifierIfTheRequestHasNoneEither() {
+            sendFirst("a");
+            receive(withId(REFUSAL, "a"));
+            RecordingListener second = sendNext("");
+            receive(REFUSAL + "\r\n");
+            assertThat(second.outcomeNow()).isEqualTo("failed");
+        }
+
+        @Test
+        void closesConnectionIfBytesFollowTheResponse() {
+            RecordingListener first = sendFirst("a");
+            receive(success("a") + withId(REFUSAL, "a"));
+            assertThat(first.outcomeNow()).isEqualTo("200 ok");
+            assertThat(channel.isActive()).isFalse();
+        }
+    }
+
+    @Nested
+    class Reuse {
+        private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+        private final EventLoop loop = group.next();
+        private final NettyUpstreamClient client = new NettyUpstreamClient(loop, context, System::currentTimeMillis);
+
+        @AfterEach
+        void stop() {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+
+        private void send(ScriptedServer server, String id, UpstreamClient.Listener listener) {
+            HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+            request.headers().set("X-Request-Id", id);
+            UpstreamEntry upstream = new UpstreamEntry(
+                    "i-1",
+                    "desk",
+                    server.address().getHostString(),
+                    server.address().getPort(),
+                    "a",
+                    6,
+                    false,
+                    false,
+                    1);
+            client.send(upstream, request, request.headers(), Unpooled.EMPTY_BUFFER, false, listener);
+        }
+
+        private String responseToRequestSentAtTheEndOf(String firstResponse, String secondResponse) throws Exception {
+            RecordingListener second = new RecordingListener();
+            ScriptedServer.Script script = (connection, request) ->
+                    ScriptedServer.Reply.keep(connection == 1 && request == 1 ? firstResponse : secondResponse);
+            try (ScriptedServer server = new ScriptedServer(script)) {
+                loop.execute(() -> send(server, "a", new RecordingListener() {
+                    @Override
+                    public void onEnd() {
+                        send(server, "b", second);
+                    }
+                }));
+                return second.outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        @Test
+        void doesNotPassRefusalReceivedWithTheEndOfAResponseToTheNextRequest() throws Exception {
+            String response = responseToRequestSentAtTheEndOf(withId(REFUSAL, "a") + REFUSAL + "\r\n", success("b"));
+            assertThat(response).isEqualTo("200 ok");
+        }
+    }
+}
