Return upstream connections to the pool only when a read is complete

A caller's request was lost (502) if it was sent at the moment at which another response ended and a faulty upstream had written more bytes behind that response: the bytes were taken as the answer to the new request.

Cause: a connection was returned to the pool as soon as the end of the response was decoded. The listener that is notified of the end may start the next request, which takes the same connection while the rest of the same read has not been processed.

Evidence, on the code before the change: UpstreamConnectionTest$Reuse .doesNotLoseRequestSentAtTheEndOfAResponseThatOtherBytesFollow expected: "200 ok" but was: "failed"

Now the connection is returned when the read is complete. Bytes behind the response then meet a connection without a request, which is closed. A request sent by the listener takes another connection.

Open: bytes behind a response that do not form a complete head stay in the decoder; the next request on that connection then fails as malformed.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -56,6 +56,7 @@
     private long idleSinceMillis;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private int requestGeneration;
+    private boolean returningToPool;
 
     UpstreamConnection(NettyUpstreamClient client, String upstreamId) {
         this.client = client;
@@ -264,13 +265,24 @@
         if (isUsable()) {
             idleSinceMillis = now;
             idleDeadlineMillis = now + keepAliveMillis;
-            client.returnToPool(this);
+            returningToPool = true;
         } else {
             channel.close();
         }
         notified.onEnd();
     }
 
+    /** Returns the connection to the pool only now, so that bytes received together with the response are detected. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (returningToPool) {
+            returningToPool = false;
+            if (isUsable()) {
+                client.returnToPool(this);
+            }
+        }
+    }
+
     private void fail(String reason) {
         Listener notified = listener;
         listener = null;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -227,5 +227,11 @@
             String response = responseToRequestSentAtTheEndOf(withId(REFUSAL, "a") + REFUSAL + "\r\n", success("b"));
             assertThat(response).isEqualTo("200 ok");
         }
+
+        @Test
+        void doesNotLoseRequestSentAtTheEndOfAResponseThatOtherBytesFollow() throws Exception {
+            String response = responseToRequestSentAtTheEndOf(success("a") + "no response\r\n\r\n", success("b"));
+            assertThat(response).isEqualTo("200 ok");
+        }
     }
 }
