Do not pass on promises that the upstream did not make

Callers could be told "not run, try again" (503, 429) for requests that an upstream had run: a response with such a status was passed on unchanged although the upstream had not stated that it did not execute the request.

Cause: Exchange passed on every response below 500, and every other error with a proof of origin, without regard to what callers conclude from the status. Only a refusal that states that the request was not executed proves this; a copy of a refusal from elsewhere, or an error of the upstream's own software, does not.

Evidence, on the code before the change: ExchangeTest$AtMostOnceRequests .areNotReportedAsNotExecutedIfTheUpstreamDoesNotStateIt [429] expected: "502 upstream-failed" but was: "429 busy" [503] expected: "502 upstream-failed" but was: "503 busy"

Such a response without the statement counts as a failure of the upstream: idempotent requests are retried, and others are answered with the gateway's 502 without the upstream's proof of origin.

Other senders of these statuses were read: the gateway's own 503 needs possibleRuns == 0 and no current attempt in Exchange; CallerServer refuses before an exchange exists.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -290,8 +290,9 @@
         } else if (isSuccess(attempt.response)
                 && proofOfOrigin(attempt.response).isEmpty()) {
             onAttemptFailed(AttemptOutcome.BROKEN, "response has no proof of origin", now);
-        } else if (attempt.response.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
-            upstreamError = Optional.of(new BufferedResponse(attempt.response, attempt.buffered));
+        } else if (isFailure(attempt.response)) {
+            upstreamError = Optional.of(new BufferedResponse(attempt.response, attempt.buffered))
+                    .filter(error -> !promisesNotRun(error.response()));
             attempt.upstream.failureDetector().recordOutcome(false, now);
             onAttemptFailed(
                     AttemptOutcome.FAILED,
@@ -495,6 +496,14 @@
                 && proofOfOrigin(attempt.response).isPresent();
     }
 
+    private boolean isFailure(HttpResponse response) {
+        return response.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code() || promisesNotRun(response);
+    }
+
+    private boolean promisesNotRun(HttpResponse response) {
+        return context.headerCodec().promisesNotRun(response.status());
+    }
+
     private static boolean isSuccess(HttpResponse response) {
         int code = response.status().code();
         return code >= HttpResponseStatus.OK.code() && code < HttpResponseStatus.MULTIPLE_CHOICES.code();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import java.util.Set;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
@@ -47,6 +48,14 @@
      */
     boolean statesNotRun(HttpResponse response);
 
+    /**
+     * Returns whether callers take a status as the promise that their request has not been executed.
+     *
+     * @param status the status
+     * @return true if only a request that has not been executed may be answered with the status
+     */
+    boolean promisesNotRun(HttpResponseStatus status);
+
     /**
      * Returns the proof that a response was created by the upstream.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -4,6 +4,8 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lovagethread.gateway.config.RouteKind;
 import org.lovagethread.gateway.policy.RetryBudget;
 
@@ -61,6 +63,15 @@
             context.lastAttempt().respond(500, FakeExchangeContext.PROOF, "error");
             assertThat(context.response).isEqualTo("500 error");
         }
+
+        @ParameterizedTest
+        @ValueSource(ints = {429, 503})
+        void areNotReportedAsNotExecutedIfTheUpstreamDoesNotStateIt(int status) {
+            context.start(RouteKind.AT_MOST_ONCE, false, 1);
+            context.lastAttempt().respond(status, FakeExchangeContext.PROOF, "busy");
+            assertThat(context.attempts).hasSize(1);
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+        }
     }
 
     @Nested
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -158,6 +158,12 @@
         return response.headers().contains(NOT_RUN);
     }
 
+    @Override
+    public boolean promisesNotRun(HttpResponseStatus status) {
+        return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
+                || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     @Override
     public Optional<String> proofOfOrigin(HttpHeaders headers) {
         return Optional.ofNullable(headers.get(PROOF));
