Do not write an error into a stream that has begun

Callers found the error of another upstream in the middle of their stream: a stream had begun and broke off, the next upstream answered with a 3xx or 4xx, and its complete response, head and body, was written into the open stream. A success of another media type was read as events and its body was appended to the stream.

Cause: Exchange.onEnd chose between retry and forwarding by the status alone. Errors from 500 on and refusals were retried or the stream was aborted; every other response was forwarded.

Evidence, on the code before the change: ExchangeTest$ResumedStreams.areAbortedAfterAnErrorOfTheNextUpstream [302, 400, 404, 409] expected: "200 stream aborted" but was: "302 error", "400 error", "404 error", "409 error" ...areAbortedAfterAResponseWithoutProofOfOrigin [302, 404, 409] the same ...areAbortedAfterASuccessOfAnotherMediaType: the body was streamed ...areResumedAtAThirdUpstreamIfTheSecondRefuses: the 409 ended the call Responses of 429, 500 and 503, refusals, and a success without proof of origin were handled before (the tests of these passed).

Once the stream has started, only a success of the stream's media type with a proof of origin continues it. Anything else fails the attempt: the stream is resumed elsewhere if it may be, and its connection is closed without an end otherwise.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.lovagethread.core.error.ErrorKind;
@@ -62,6 +64,7 @@
     private boolean ended;
     private boolean streamStarted;
     private boolean usageRecorded;
+    private Optional<String> streamMediaType = Optional.empty();
     private long lastEventId;
     private boolean readingPaused;
     private Optional<BufferedResponse> upstreamError = Optional.empty();
@@ -290,7 +293,7 @@
         } else if (isSuccess(attempt.response)
                 && proofOfOrigin(attempt.response).isEmpty()) {
             onAttemptFailed(AttemptOutcome.BROKEN, "response has no proof of origin", now);
-        } else if (isFailure(attempt.response)) {
+        } else if (streamStarted || isFailure(attempt.response)) {
             upstreamError = Optional.of(new BufferedResponse(attempt.response, attempt.buffered))
                     .filter(error -> !promisesNotRun(error.response()));
             attempt.upstream.failureDetector().recordOutcome(false, now);
@@ -342,6 +345,7 @@
         }
         if (!streamStarted) {
             streamStarted = true;
+            streamMediaType = mediaType(attempt.response);
             record.recordFirstEvent(now);
             caller.startStream(attempt.response.status(), attempt.response.headers());
         }
@@ -493,7 +497,13 @@
     private boolean isEventStream() {
         return route.isStreaming()
                 && isSuccess(attempt.response)
-                && proofOfOrigin(attempt.response).isPresent();
+                && proofOfOrigin(attempt.response).isPresent()
+                && (!streamStarted || streamMediaType.equals(mediaType(attempt.response)));
+    }
+
+    private static Optional<String> mediaType(HttpResponse response) {
+        return Optional.ofNullable(HttpUtil.getMimeType(response))
+                .map(type -> type.toString().strip().toLowerCase(Locale.ROOT));
     }
 
     private boolean isFailure(HttpResponse response) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -157,6 +157,69 @@
         }
     }
 
+    @Nested
+    class ResumedStreams {
+        private static final String BEGUN = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+        private FakeExchangeContext.FakeAttempt resume() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData(BEGUN);
+            context.lastAttempt().listener.onFailure("reset");
+            assertThat(context.attempts).hasSize(2);
+            return context.lastAttempt();
+        }
+
+        private void assertAbortedAfter(String events) {
+            assertThat(context.streamedEvents).hasToString(events);
+            assertThat(context.response).isEqualTo("200 stream aborted");
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {302, 400, 404, 409, 429, 500, 503})
+        void areAbortedAfterAnErrorOfTheNextUpstream(int status) {
+            resume().respond(status, FakeExchangeContext.PROOF, "error\n\n");
+            assertAbortedAfter(BEGUN);
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {200, 302, 404, 409, 503})
+        void areAbortedAfterAResponseWithoutProofOfOrigin(int status) {
+            resume().respond(status, "other", "error\n\n");
+            assertAbortedAfter(BEGUN);
+        }
+
+        @Test
+        void areAbortedAfterRefusalsOfAllOtherUpstreams() {
+            resume().respond(503, FakeExchangeContext.NOT_RUN, "busy\n\n");
+            context.lastAttempt().respond(503, FakeExchangeContext.NOT_RUN, "busy\n\n");
+            assertAbortedAfter(BEGUN);
+        }
+
+        @Test
+        void areResumedAtAThirdUpstreamIfTheSecondRefuses() {
+            context.start(RouteKind.EVENT_STREAM, true, 3);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData(BEGUN);
+            context.lastAttempt().listener.onFailure("reset");
+            context.lastAttempt().respond(409, FakeExchangeContext.PROOF, "error");
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 3\ndata: c\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.streamedEvents).hasToString(BEGUN + "id: 3\ndata: c\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        @Test
+        void areAbortedAfterASuccessOfAnotherMediaType() {
+            FakeExchangeContext.FakeAttempt next = resume();
+            next.sendHeader(200, FakeExchangeContext.PROOF, "application/json");
+            next.sendData("{}\n\n");
+            next.listener.onEnd();
+            assertAbortedAfter(BEGUN);
+        }
+    }
+
     @Nested
     class DisconnectedCaller {
         @Test
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -47,6 +47,8 @@
     long currentMillis = 1_000;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
     String response = "";
+    Optional<RuntimeException> responseFailure = Optional.empty();
+    Optional<RuntimeException> sendFailure = Optional.empty();
     ExchangeRecord record;
     private final EngineModels engineModels = new EngineModels();
     private final TokenQuota quota = new TokenQuota(0, 0);
@@ -74,9 +76,13 @@
         public void setReading(boolean reading) {}
 
         void sendHeader(int status, String header) {
+            sendHeader(status, header, "text/event-stream");
+        }
+
+        void sendHeader(int status, String header, String mediaType) {
             HttpResponse responseHeader =
                     new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-            responseHeader.headers().set(header, "1");
+            responseHeader.headers().set(header, "1").set("Content-Type", mediaType);
             listener.onHeader(responseHeader);
         }
 
@@ -131,6 +137,7 @@
             ByteBuf body,
             boolean requireFresh,
             Listener listener) {
+        failIfSet(sendFailure);
         FakeAttempt attempt = new FakeAttempt(upstream, Long.parseLong(headers.get("last")), listener);
         attempts.add(attempt);
         return attempt;
@@ -176,8 +183,15 @@
                 .collect(Collectors.toSet());
     }
 
+    private void failIfSet(Optional<RuntimeException> failure) {
+        failure.ifPresent(exception -> {
+            throw exception;
+        });
+    }
+
     @Override
     public void sendResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+        failIfSet(responseFailure);
         response = status.code() + " " + body.toString(StandardCharsets.UTF_8);
     }
 
@@ -188,11 +202,13 @@
 
     @Override
     public void startStream(HttpResponseStatus status, HttpHeaders headers) {
+        failIfSet(responseFailure);
         response = status.code() + " stream";
     }
 
     @Override
     public boolean sendStreamData(ByteBuf bytes) {
+        failIfSet(responseFailure);
         streamedEvents.append(bytes.toString(StandardCharsets.UTF_8));
         return true;
     }
