Let a failed attempt add nothing to its stream

Callers could find pieces of two runs joined in one stream: an upstream whose events had a gap was given up and the stream was resumed elsewhere, but the events that the first upstream had sent behind the gap were still read, as if they came from the second.

Cause: EventSplitter passes on all events of a received block, and Exchange.onEvent did not know to which attempt they belong: all attempts of an exchange shared one listener. The bytes behind them were also counted against the new attempt.

Evidence, on the code before the change: ExchangeTest$ResumedStreams.doNotContainEventsOfAFailedAttempt expected streamed events "id: 1" only, but "id: 2 data: old" of the failed attempt followed them

Each attempt now has its own listener, which ignores everything after the attempt has ended, and events of a block are dropped when their attempt ends.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -231,7 +231,13 @@
                                 priority(),
                                 lastEventId));
         UpstreamClient.RequestHandle handle = context.upstreamClient()
-                .send(upstream.entry(), request, headers, body, route.kind() == RouteKind.AT_MOST_ONCE, this);
+                .send(
+                        upstream.entry(),
+                        request,
+                        headers,
+                        body,
+                        route.kind() == RouteKind.AT_MOST_ONCE,
+                        new AttemptListener(this, () -> attempt == newAttempt));
         if (attempt == newAttempt) {
             newAttempt.handle = handle;
         }
@@ -263,9 +269,14 @@
     public void onData(ByteBuf bytes) {
         recordActivity();
         if (isEventStream()) {
-            attempt.bytesSinceEvent += bytes.readableBytes();
-            attempt.eventSplitter.feed(bytes, this::onEvent);
-            if (attempt != null && attempt.bytesSinceEvent > EventSplitter.MAX_EVENT_BYTES) {
+            Attempt current = attempt;
+            current.bytesSinceEvent += bytes.readableBytes();
+            current.eventSplitter.feed(bytes, (id, event) -> {
+                if (attempt == current) {
+                    onEvent(id, event);
+                }
+            });
+            if (attempt == current && current.bytesSinceEvent > EventSplitter.MAX_EVENT_BYTES) {
                 onAttemptFailed(AttemptOutcome.BROKEN, "too much data before the next event", context.nowMillis());
             }
             return;
@@ -327,9 +338,6 @@
     }
 
     private void onEvent(long id, ByteBuf event) {
-        if (ended || attempt == null) {
-            return;
-        }
         if (id >= 0 && id <= lastEventId) {
             return;
         }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -218,6 +218,22 @@
             next.listener.onEnd();
             assertAbortedAfter(BEGUN);
         }
+
+        @Test
+        void doNotContainEventsOfAFailedAttempt() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\nid: 3\ndata: c\n\nid: 2\ndata: old\n\n");
+            assertThat(context.attempts).hasSize(2);
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\n");
+            context.attempts.get(0).sendData("id: 2\ndata: late\n\n");
+            context.attempts.get(0).listener.onEnd();
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 2\ndata: b\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
     }
 
     @Nested
