Resume a stream only where the next run continues it

Callers could get a stream of two runs that do not fit, or one that ended as complete before its last event: after a stream had broken off, - a run that began again at its first event was accepted: the events that the caller had were dropped, and those behind them were appended; - an event without an identifier at the start of the next run was appended; - a stream whose events have no identifiers was begun again from the start; - an empty success (200 or 204) of the next upstream ended the stream as complete.

Cause: identifiers were compared only if both events had one, and the end of any event stream counted as the end of the caller's.

A resuming attempt must now begin with the event after the last one, and a stream whose last event has no identifier is not resumed. An empty resumed run fails the attempt: the gateway cannot tell whether the interrupted run had sent its last event. The caller, whose connection is closed without an end, can resume the stream itself; an empty first response is still passed on as the complete response that it is.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -66,6 +66,7 @@
     private boolean usageRecorded;
     private Optional<String> streamMediaType = Optional.empty();
     private long lastEventId;
+    private boolean lastEventNumbered;
     private boolean readingPaused;
     private Optional<BufferedResponse> upstreamError = Optional.empty();
 
@@ -75,6 +76,7 @@
         private final Placement.Choice choice;
         private final long sentMillis;
         private final long memoryTokens;
+        private final boolean resumesStream;
         private final EventSplitter eventSplitter = new EventSplitter();
         private UpstreamClient.RequestHandle handle;
         private HttpResponse response;
@@ -85,13 +87,19 @@
         private boolean responseEnded;
         private long bytesSinceEvent;
 
-        private Attempt(Placement.Choice choice, long memoryTokens, long nowMillis) {
+        private Attempt(Placement.Choice choice, long memoryTokens, boolean resumesStream, long nowMillis) {
+            this.resumesStream = resumesStream;
             this.choice = choice;
             this.upstream = choice.upstream();
             this.memoryTokens = memoryTokens;
             this.sentMillis = nowMillis;
             this.lastBytesMillis = nowMillis;
         }
+
+        /** Returns whether the next event must be the one after the last event of the interrupted stream. */
+        private boolean awaitsContinuation() {
+            return resumesStream && !firstEventReceived;
+        }
     }
 
     private record BufferedResponse(HttpResponse response, ByteBuf body) {}
@@ -213,7 +221,8 @@
         Upstream upstream = choice.upstream();
         attempts++;
         triedUpstreams.add(upstream.entry().id());
-        Attempt newAttempt = new Attempt(choice, demand.promptTokens() + (long) demand.maxOutputTokens(), nowMillis);
+        Attempt newAttempt =
+                new Attempt(choice, demand.promptTokens() + (long) demand.maxOutputTokens(), streamStarted, nowMillis);
         attempt = newAttempt;
         upstream.load().recordStart(choice.unreadTokens(), newAttempt.memoryTokens);
         if (service.engine().isPresent()) {
@@ -338,10 +347,11 @@
     }
 
     private void onEvent(long id, ByteBuf event) {
-        if (id >= 0 && id <= lastEventId) {
+        if (id >= 0 && id <= lastEventId && !attempt.awaitsContinuation()) {
             return;
         }
-        if (streamStarted && id >= 0 && lastEventId >= 0 && id != lastEventId + 1) {
+        boolean mustContinue = attempt.awaitsContinuation() || (streamStarted && id >= 0 && lastEventId >= 0);
+        if (mustContinue && id != lastEventId + 1) {
             onAttemptFailed(
                     AttemptOutcome.BROKEN, "received event " + id + " after event " + lastEventId, context.nowMillis());
             return;
@@ -357,6 +367,7 @@
             record.recordFirstEvent(now);
             caller.startStream(attempt.response.status(), attempt.response.headers());
         }
+        lastEventNumbered = id >= 0;
         lastEventId = id >= 0 ? id : lastEventId;
         if (!caller.sendStreamData(event) && attempt != null && attempt.handle != null) {
             readingPaused = true;
@@ -385,6 +396,11 @@
             onAttemptFailed(AttemptOutcome.BROKEN, "stream ended in the middle of an event", nowMillis);
             return;
         }
+        // An empty response does not prove that the interrupted stream was complete.
+        if (attempt.awaitsContinuation()) {
+            onAttemptFailed(AttemptOutcome.BROKEN, "resumed stream ended without an event", nowMillis);
+            return;
+        }
         attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
         if (service.engine().isPresent() && attempt.firstEventReceived) {
             context.engineModels().of(service.name()).recordStream(nowMillis - attempt.firstEventMillis);
@@ -412,6 +428,7 @@
         endAttempt();
         boolean retry = attempts < MAX_ATTEMPTS
                 && outcome.allowsRetry(route, possibleRuns)
+                && (!streamStarted || lastEventNumbered)
                 && deadlineMillis - nowMillis >= MIN_ATTEMPT_MILLIS
                 && context.hasUntriedUpstream(service.name(), triedUpstreams)
                 && (!outcome.mayHaveArrived()
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -219,6 +220,37 @@
             assertAbortedAfter(BEGUN);
         }
 
+        @ParameterizedTest
+        @ValueSource(ints = {200, 204})
+        void areAbortedIfTheNextUpstreamSendsNoEvent(int status) {
+            FakeExchangeContext.FakeAttempt next = resume();
+            next.sendHeader(status, FakeExchangeContext.PROOF);
+            next.listener.onEnd();
+            assertAbortedAfter(BEGUN);
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {"id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n", "id: 4\ndata: d\n\n", "data: c\n\n"
+                })
+        void areAbortedIfTheNextUpstreamDoesNotContinueAfterTheLastEvent(String events) {
+            FakeExchangeContext.FakeAttempt next = resume();
+            next.sendHeader(200, FakeExchangeContext.PROOF);
+            next.sendData(events);
+            next.listener.onEnd();
+            assertAbortedAfter(BEGUN);
+        }
+
+        @Test
+        void areNotResumedAfterAnEventWithoutIdentifier() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("data: a\n\n");
+            context.lastAttempt().listener.onFailure("reset");
+            assertThat(context.attempts).hasSize(1);
+            assertAbortedAfter("data: a\n\n");
+        }
+
         @Test
         void doNotContainEventsOfAFailedAttempt() {
             context.start(RouteKind.EVENT_STREAM, true, 2);
