End an exchange with an error after an exception

Callers waited until their deadline (504) if an exception was thrown while a response was processed, for example by a header that cannot be copied. If it was thrown while the head of a stream was written, a retry at another upstream wrote events without a head.

Cause: the exception left the exchange without an attempt that could still report anything; the connection to the upstream was closed, but its listener had been removed before onEnd. streamStarted was set before the head was written.

Evidence, on the code before the change: all four tests of ExchangeTest$InternalErrors failed with the exception of the test itself, for example "java.lang.IllegalArgumentException: invalid header".

Exceptions in the first attempt and in the response to any attempt now end the exchange: with 502, which promises nothing, or by closing the connection of a stream that has begun. The reason is logged with the outcome internal-error. Not covered: an exception in Exchange.tick, which Gateway.tick logs, and which ends the ticks of the connections behind it.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -127,7 +127,11 @@
     /** Starts the first attempt. */
     void start() {
         context.retryBudget().recordRequest(service.name(), startedMillis);
-        dispatch(startedMillis);
+        try {
+            dispatch(startedMillis);
+        } catch (RuntimeException e) {
+            onInternalError(e);
+        }
     }
 
     /** Ends the exchange because the caller closed its connection. */
@@ -246,7 +250,7 @@
                         headers,
                         body,
                         route.kind() == RouteKind.AT_MOST_ONCE,
-                        new AttemptListener(this, () -> attempt == newAttempt));
+                        new AttemptListener(this, () -> attempt == newAttempt, this::onInternalError));
         if (attempt == newAttempt) {
             newAttempt.handle = handle;
         }
@@ -362,10 +366,10 @@
             onFirstEvent(now);
         }
         if (!streamStarted) {
-            streamStarted = true;
             streamMediaType = mediaType(attempt.response);
-            record.recordFirstEvent(now);
             caller.startStream(attempt.response.status(), attempt.response.headers());
+            streamStarted = true;
+            record.recordFirstEvent(now);
         }
         lastEventNumbered = id >= 0;
         lastEventId = id >= 0 ? id : lastEventId;
@@ -406,9 +410,9 @@
             context.engineModels().of(service.name()).recordStream(nowMillis - attempt.firstEventMillis);
         }
         if (!streamStarted) {
-            streamStarted = true;
             recordUsage();
             caller.startStream(attempt.response.status(), attempt.response.headers());
+            streamStarted = true;
         }
         caller.endStream();
         finish("answered", nowMillis);
@@ -464,6 +468,26 @@
         }
     }
 
+    /** Ends the exchange after an exception. The request may have been executed. */
+    private void onInternalError(RuntimeException error) {
+        if (ended) {
+            return;
+        }
+        record.recordReason(error.toString());
+        try {
+            if (streamStarted) {
+                caller.abort();
+            } else {
+                caller.sendError(ErrorKind.UPSTREAM_FAILED, 0);
+            }
+        } catch (RuntimeException e) {
+            error.addSuppressed(e);
+            caller.abort();
+        } finally {
+            finish("internal-error", context.nowMillis());
+        }
+    }
+
     private void onDeadline(long nowMillis) {
         record.recordReason("deadline");
         boolean mayHaveRun = attempt != null || possibleRuns > 0;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -268,6 +268,49 @@
         }
     }
 
+    @Nested
+    class InternalErrors {
+        @Test
+        void endTheRequestWithAnError() {
+            context.responseFailure = Optional.of(new IllegalArgumentException("invalid header"));
+            context.start(RouteKind.AT_MOST_ONCE, false, 1);
+            context.lastAttempt().respond(200, FakeExchangeContext.PROOF, "booked");
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+            assertThat(context.record.outcome()).isEqualTo("internal-error");
+        }
+
+        @Test
+        void doNotStartAStreamWithoutItsHeader() {
+            context.responseFailure = Optional.of(new IllegalArgumentException("invalid header"));
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\n");
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+            assertThat(context.streamedEvents).hasToString("");
+            assertThat(context.lastAttempt().cancelled).isTrue();
+        }
+
+        @Test
+        void abortAStreamThatHasStarted() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\n");
+            context.responseFailure = Optional.of(new IllegalStateException("failure"));
+            context.lastAttempt().sendData("id: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream aborted");
+            assertThat(context.lastAttempt().cancelled).isTrue();
+        }
+
+        @Test
+        void inTheFirstAttemptEndTheRequestWithAnError() {
+            context.sendFailure = Optional.of(new IllegalArgumentException("port out of range"));
+            context.start(RouteKind.IDEMPOTENT, false, 2);
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+            assertThat(context.upstreams.all())
+                    .allMatch(upstream -> upstream.load().local().inFlight() == 0);
+        }
+    }
+
     @Nested
     class DisconnectedCaller {
         @Test
