Close the caller's connection rather than write a second head

Defence in depth for streams that have begun: no path may write a complete response, an error or a second head into an open stream, whatever state an exchange is in.

Cause: CallerChannelHandler wrote whatever it was asked to write.

The handler now knows whether a stream is open. A call that does not fit closes the connection without an end and throws IllegalStateException.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -49,6 +49,7 @@
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Exchange exchange;
     private boolean responding;
+    private boolean streaming;
     private boolean closing;
     private long lastActiveMillis;
 
@@ -232,6 +233,7 @@
 
     @Override
     public void sendResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf responseBody) {
+        requireStreaming(false);
         boolean close = mustCloseAfterResponse();
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, responseBody.retainedDuplicate());
@@ -244,6 +246,7 @@
 
     @Override
     public void sendError(ErrorKind kind, long retryAfterMillis) {
+        requireStreaming(false);
         boolean close = mustCloseAfterResponse();
         byte[] text = ("{\"error\":\"" + kind.label() + "\",\"message\":\"" + kind.message() + "\"}")
                 .getBytes(StandardCharsets.UTF_8);
@@ -262,6 +265,7 @@
 
     @Override
     public void startStream(HttpResponseStatus status, HttpHeaders headers) {
+        requireStreaming(false);
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         Headers.copyEndToEnd(headers, response.headers());
         if (request.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
@@ -273,11 +277,13 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             closing = true;
         }
+        streaming = true;
         channel.write(response);
     }
 
     @Override
     public boolean sendStreamData(ByteBuf bytes) {
+        requireStreaming(true);
         channel.writeAndFlush(new DefaultHttpContent(
                 channel.alloc().buffer(bytes.readableBytes()).writeBytes(bytes)));
         return channel.isWritable();
@@ -285,6 +291,8 @@
 
     @Override
     public void endStream() {
+        requireStreaming(true);
+        streaming = false;
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         boolean close = mustCloseAfterResponse();
         if (close) {
@@ -300,6 +308,14 @@
         channel.close();
     }
 
+    /** Closes the connection instead of sending a part of a response that does not fit what has been sent before. */
+    private void requireStreaming(boolean expected) {
+        if (streaming != expected) {
+            abort();
+            throw new IllegalStateException("stream has " + (streaming ? "already" : "not") + " been started");
+        }
+    }
+
     private boolean mustCloseAfterResponse() {
         return closing || server.isDraining() || (request != null && !HttpUtil.isKeepAlive(request));
     }
