Do not take a surplus response of the store as the next one

The response to a call to the store, to the platform's API or to a peer could be taken from bytes that followed an earlier response on the same connection, if the next call was made when that response arrived.

Cause: PooledHttpClient returned a connection to the pool and called the callback while the rest of the same read was unprocessed; a call made by the callback took this connection.

Evidence, on the code before the change: PooledHttpClientTest.doesNotTakeSurplusResponseAsResponseToNextRequest expected: 200 but was: 503

The connection is now pooled, and the callback called, when the read is complete; a connection with surplus bytes is closed. Calls made by callbacks still reuse the connection (reusesConnectionForRequestSentByCallback).

Open: a surplus response that arrives after the next call was sent cannot be told from its response.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
@@ -27,6 +27,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -155,6 +156,8 @@
         private Consumer<Response> callback;
         private ScheduledFuture<?> timeout;
         private boolean sent;
+        private boolean reusable;
+        private Optional<Response> received = Optional.empty();
         private long idleSinceNanos;
         private long lastBytesNanos;
         private long responseDeadlineNanos;
@@ -212,6 +215,7 @@
         private void finish(Response response) {
             Consumer<Response> notified = callback;
             callback = null;
+            received = Optional.empty();
             if (timeout != null) {
                 timeout.cancel(false);
             }
@@ -226,14 +230,29 @@
                 channel.close();
                 return;
             }
+            if (received.isPresent()) {
+                reusable = false;
+                return;
+            }
             ByteString bytes = ByteString.copyFrom(response.content().nioBuffer());
-            if (HttpUtil.isKeepAlive(response)) {
+            reusable = HttpUtil.isKeepAlive(response);
+            received = Optional.of(new Response(response.status().code(), true, bytes));
+        }
+
+        /** Completes the request only now, so that bytes received together with the response are detected. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (received.isEmpty()) {
+                return;
+            }
+            Response response = received.get();
+            if (reusable) {
                 idleSinceNanos = System.nanoTime();
                 idle.computeIfAbsent(address, key -> new ArrayDeque<>()).push(this);
             } else {
                 channel.close();
             }
-            finish(new Response(response.status().code(), true, bytes));
+            finish(response);
         }
 
         @Override
@@ -242,12 +261,12 @@
             if (connections != null) {
                 connections.remove(this);
             }
-            finish(Response.none(sent));
+            finish(received.orElse(Response.none(sent)));
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            finish(Response.none(sent));
+            finish(received.orElse(Response.none(sent)));
             channel.close();
         }
 
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
@@ -0,0 +1,61 @@
+package org.lovagethread.gateway.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PooledHttpClientTest {
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final String STALE = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    private static final String FRESH = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final PooledHttpClient client = new PooledHttpClient(loop);
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private static PooledHttpClient.Request request(ScriptedServer server) {
+        return new PooledHttpClient.Request(
+                server.address(), HttpMethod.GET, "/x", Map.of(), ByteString.EMPTY, TIMEOUT_MILLIS);
+    }
+
+    private static ScriptedServer startServer(String firstResponse) throws IOException {
+        return new ScriptedServer((connection, request) ->
+                ScriptedServer.Reply.keep(connection == 1 && request == 1 ? firstResponse : FRESH));
+    }
+
+    private int statusOfRequestSentByCallback(ScriptedServer server) throws Exception {
+        CompletableFuture<Integer> status = new CompletableFuture<>();
+        loop.execute(() -> client.send(
+                request(server), first -> client.send(request(server), second -> status.complete(second.status()))));
+        return status.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void doesNotTakeSurplusResponseAsResponseToNextRequest() throws Exception {
+        try (ScriptedServer server = startServer(FRESH + STALE)) {
+            assertThat(statusOfRequestSentByCallback(server)).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void reusesConnectionForRequestSentByCallback() throws Exception {
+        try (ScriptedServer server = startServer(FRESH)) {
+            assertThat(statusOfRequestSentByCallback(server)).isEqualTo(200);
+            assertThat(server.connections()).isEqualTo(1);
+        }
+    }
+}
