--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -49,6 +50,7 @@
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Exchange exchange;
     private boolean responding;
+    private boolean streaming;
     private boolean closing;
     private long lastActiveMillis;
     private long idleTimeoutMillis;
@@ -246,7 +248,7 @@
         } catch (RuntimeException e) {
             HttpRequest failed = request;
             if (exchange != null) {
-                exchange.onInternalError(server.nowMillis());
+                exchange.onInternalError(e);
             } else if (responding && !closing) {
                 sendError(ErrorKind.OVERLOADED, 0);
             }
@@ -272,6 +274,7 @@
 
     @Override
     public void sendResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf responseBody) {
+        requireStreaming(false);
         boolean close = mustCloseAfterResponse();
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, responseBody.retainedDuplicate());
@@ -284,6 +287,7 @@
 
     @Override
     public void sendError(ErrorKind kind, long retryAfterMillis) {
+        requireStreaming(false);
         boolean close = mustCloseAfterResponse();
         byte[] text = ("{\"error\":\"" + kind.label() + "\",\"message\":\"" + kind.message() + "\"}")
                 .getBytes(StandardCharsets.UTF_8);
@@ -302,10 +306,12 @@
 
     @Override
     public void startStream(HttpResponseStatus status, HttpHeaders headers) {
+        requireStreaming(false);
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         Headers.copyEndToEnd(headers, response.headers());
         if (request.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             closing = true;
+            setResetOnClose(true);
         } else {
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
@@ -313,11 +319,13 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             closing = true;
         }
+        streaming = true;
         channel.write(response);
     }
 
     @Override
     public boolean sendStreamData(ByteBuf bytes) {
+        requireStreaming(true);
         channel.writeAndFlush(new DefaultHttpContent(
                 channel.alloc().buffer(bytes.readableBytes()).writeBytes(bytes)));
         return channel.isWritable();
@@ -325,6 +333,9 @@
 
     @Override
     public void endStream() {
+        requireStreaming(true);
+        streaming = false;
+        setResetOnClose(false);
         boolean closeAnnounced = closing;
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         if (closeAnnounced) {
@@ -340,6 +351,22 @@
         channel.close();
     }
 
+    /** Closes the connection instead of sending a part of a response that does not fit what has been sent before. */
+    private void requireStreaming(boolean expected) {
+        if (streaming != expected) {
+            abort();
+            throw new IllegalStateException("stream has " + (streaming ? "already" : "not") + " been started");
+        }
+    }
+
+    /**
+     * Sets whether closing the connection resets it. A stream without chunks ends with its connection, so only a reset
+     * shows that it is incomplete.
+     */
+    private void setResetOnClose(boolean enabled) {
+        channel.config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : -1);
+    }
+
     private boolean mustCloseAfterResponse() {
         return closing || server.isDraining() || (request != null && !HttpUtil.isKeepAlive(request));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.lovagethread.core.error.ErrorKind;
@@ -62,7 +64,9 @@
     private boolean ended;
     private boolean streamStarted;
     private boolean usageRecorded;
+    private Optional<String> streamMediaType = Optional.empty();
     private long lastEventId;
+    private boolean lastEventNumbered;
     private boolean readingPaused;
     private Optional<BufferedResponse> upstreamError = Optional.empty();
 
@@ -72,6 +76,7 @@
         private final Placement.Choice choice;
         private final long sentMillis;
         private final long memoryTokens;
+        private final boolean resumesStream;
         private final EventSplitter eventSplitter = new EventSplitter();
         private UpstreamClient.RequestHandle handle;
         private HttpResponse response;
@@ -83,7 +88,13 @@
         private boolean responseEnded;
         private long bytesSinceEvent;
 
-        private Attempt(Placement.Choice choice, long memoryTokens, long nowMillis, long observedMillis) {
+        private Attempt(
+                Placement.Choice choice,
+                long memoryTokens,
+                boolean resumesStream,
+                long nowMillis,
+                long observedMillis) {
+            this.resumesStream = resumesStream;
             this.choice = choice;
             this.upstream = choice.upstream();
             this.memoryTokens = memoryTokens;
@@ -95,6 +106,11 @@
             lastBytesMillis = nowMillis;
             lastBytesObservedMillis = observedMillis;
         }
+
+        /** Returns whether the next event must be the one after the last event of the interrupted stream. */
+        private boolean awaitsContinuation() {
+            return resumesStream && !firstEventReceived;
+        }
     }
 
     private record BufferedResponse(HttpResponse response, ByteBuf body) {}
@@ -122,7 +138,11 @@
     /** Starts the first attempt. */
     void start() {
         context.retryBudget().recordRequest(service.name(), startedMillis);
-        dispatch(startedMillis);
+        try {
+            dispatch(startedMillis);
+        } catch (RuntimeException e) {
+            onInternalError(e);
+        }
     }
 
     /** Ends the exchange because the caller closed its connection. */
@@ -228,7 +248,11 @@
         attempts++;
         triedUpstreams.add(upstream.entry().id());
         Attempt newAttempt = new Attempt(
-                choice, demand.promptTokens() + (long) demand.maxOutputTokens(), nowMillis, context.observedMillis());
+                choice,
+                demand.promptTokens() + (long) demand.maxOutputTokens(),
+                streamStarted,
+                nowMillis,
+                context.observedMillis());
         attempt = newAttempt;
         upstream.load().recordStart(choice.unreadTokens(), newAttempt.memoryTokens);
         if (service.engine().isPresent()) {
@@ -246,7 +270,13 @@
                                 priority(),
                                 lastEventId));
         UpstreamClient.RequestHandle handle = context.upstreamClient()
-                .send(upstream.entry(), request, headers, body, route.kind() == RouteKind.AT_MOST_ONCE, this);
+                .send(
+                        upstream.entry(),
+                        request,
+                        headers,
+                        body,
+                        route.kind() == RouteKind.AT_MOST_ONCE,
+                        new AttemptListener(this, () -> attempt == newAttempt, this::onInternalError));
         if (attempt == newAttempt) {
             newAttempt.handle = handle;
         }
@@ -278,9 +308,14 @@
     public void onData(ByteBuf bytes) {
         recordActivity();
         if (isEventStream()) {
-            attempt.bytesSinceEvent += bytes.readableBytes();
-            attempt.eventSplitter.feed(bytes, this::onEvent);
-            if (attempt != null && attempt.bytesSinceEvent > EventSplitter.MAX_EVENT_BYTES) {
+            Attempt current = attempt;
+            current.bytesSinceEvent += bytes.readableBytes();
+            current.eventSplitter.feed(bytes, (id, event) -> {
+                if (attempt == current) {
+                    onEvent(id, event);
+                }
+            });
+            if (attempt == current && current.bytesSinceEvent > EventSplitter.MAX_EVENT_BYTES) {
                 onAttemptFailed(AttemptOutcome.BROKEN, "too much data before the next event", context.nowMillis());
             }
             return;
@@ -308,8 +343,9 @@
         } else if (isSuccess(attempt.response)
                 && proofOfOrigin(attempt.response).isEmpty()) {
             onAttemptFailed(AttemptOutcome.BROKEN, "response has no proof of origin", now);
-        } else if (attempt.response.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
-            upstreamError = Optional.of(new BufferedResponse(attempt.response, attempt.buffered));
+        } else if (streamStarted || isFailure(attempt.response)) {
+            upstreamError = Optional.of(new BufferedResponse(attempt.response, attempt.buffered))
+                    .filter(error -> !promisesNotRun(error.response()));
             attempt.upstream.failureDetector().recordOutcome(false, now);
             onAttemptFailed(
                     AttemptOutcome.FAILED,
@@ -341,13 +377,11 @@
     }
 
     private void onEvent(long id, ByteBuf event) {
-        if (ended || attempt == null) {
-            return;
-        }
-        if (id >= 0 && id <= lastEventId) {
+        if (id >= 0 && id <= lastEventId && !attempt.awaitsContinuation()) {
             return;
         }
-        if (streamStarted && id >= 0 && lastEventId >= 0 && id != lastEventId + 1) {
+        boolean mustContinue = attempt.awaitsContinuation() || (streamStarted && id >= 0 && lastEventId >= 0);
+        if (mustContinue && id != lastEventId + 1) {
             onAttemptFailed(
                     AttemptOutcome.BROKEN, "received event " + id + " after event " + lastEventId, context.nowMillis());
             return;
@@ -358,10 +392,12 @@
             onFirstEvent(now);
         }
         if (!streamStarted) {
+            streamMediaType = mediaType(attempt.response);
+            caller.startStream(attempt.response.status(), attempt.response.headers());
             streamStarted = true;
             record.recordFirstEvent(now);
-            caller.startStream(attempt.response.status(), attempt.response.headers());
         }
+        lastEventNumbered = id >= 0;
         lastEventId = id >= 0 ? id : lastEventId;
         if (!caller.sendStreamData(event) && attempt != null && attempt.handle != null) {
             readingPaused = true;
@@ -390,14 +426,19 @@
             onAttemptFailed(AttemptOutcome.BROKEN, "stream ended in the middle of an event", nowMillis);
             return;
         }
+        // An empty response does not prove that the interrupted stream was complete.
+        if (attempt.awaitsContinuation()) {
+            onAttemptFailed(AttemptOutcome.BROKEN, "resumed stream ended without an event", nowMillis);
+            return;
+        }
         attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
         if (service.engine().isPresent() && attempt.firstEventReceived) {
             context.engineModels().of(service.name()).recordStream(nowMillis - attempt.firstEventMillis);
         }
         if (!streamStarted) {
-            streamStarted = true;
             recordUsage();
             caller.startStream(attempt.response.status(), attempt.response.headers());
+            streamStarted = true;
         }
         caller.endStream();
         finish("answered", nowMillis);
@@ -430,6 +471,7 @@
     private boolean tryReserveRetry(AttemptOutcome outcome, int runs, long nowMillis) {
         return attempts < MAX_ATTEMPTS
                 && outcome.allowsRetry(route, runs)
+                && (!streamStarted || lastEventNumbered)
                 && deadlineMillis - nowMillis >= MIN_ATTEMPT_MILLIS
                 && context.hasUntriedUpstream(service.name(), triedUpstreams)
                 && (!outcome.mayHaveArrived()
@@ -464,6 +506,30 @@
         }
     }
 
+    /**
+     * Ends the exchange after an exception. The request may have been executed.
+     *
+     * @param error the exception
+     */
+    void onInternalError(RuntimeException error) {
+        if (ended) {
+            return;
+        }
+        record.recordReason(error.toString());
+        try {
+            if (streamStarted) {
+                caller.abort();
+            } else {
+                caller.sendError(ErrorKind.UPSTREAM_FAILED, 0);
+            }
+        } catch (RuntimeException e) {
+            error.addSuppressed(e);
+            caller.abort();
+        } finally {
+            finish("internal-error", context.nowMillis());
+        }
+    }
+
     private void onDeadline(long nowMillis) {
         record.recordReason("deadline");
         if (attempt != null) {
@@ -484,18 +550,6 @@
         }
     }
 
-    /**
-     * Ends the exchange because its processing failed with an exception.
-     *
-     * @param nowMillis the current time in milliseconds
-     */
-    void onInternalError(long nowMillis) {
-        if (!ended) {
-            record.recordReason("internal error");
-            endUnfinished(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.OUTCOME_UNKNOWN, nowMillis);
-        }
-    }
-
     /** Ends the exchange with an error that depends on whether the request may have run, or cuts the stream. */
     private void endUnfinished(ErrorKind ifNotRun, ErrorKind ifMayHaveRun, long nowMillis) {
         if (streamStarted) {
@@ -550,7 +604,21 @@
     private boolean isEventStream() {
         return route.isStreaming()
                 && isSuccess(attempt.response)
-                && proofOfOrigin(attempt.response).isPresent();
+                && proofOfOrigin(attempt.response).isPresent()
+                && (!streamStarted || streamMediaType.equals(mediaType(attempt.response)));
+    }
+
+    private static Optional<String> mediaType(HttpResponse response) {
+        return Optional.ofNullable(HttpUtil.getMimeType(response))
+                .map(type -> type.toString().strip().toLowerCase(Locale.ROOT));
+    }
+
+    private boolean isFailure(HttpResponse response) {
+        return response.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code() || promisesNotRun(response);
+    }
+
+    private boolean promisesNotRun(HttpResponse response) {
+        return context.headerCodec().promisesNotRun(response.status());
     }
 
     private static boolean isSuccess(HttpResponse response) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
@@ -3,7 +3,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
+import java.util.Set;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 /** Translates between the HTTP headers of callers and upstreams and the types of the gateway. */
@@ -46,6 +48,14 @@
      */
     boolean statesNotRun(HttpResponse response);
 
+    /**
+     * Returns whether callers take a status as the promise that their request has not been executed.
+     *
+     * @param status the status
+     * @return true if only a request that has not been executed may be answered with the status
+     */
+    boolean promisesNotRun(HttpResponseStatus status);
+
     /**
      * Returns the proof that a response was created by the upstream.
      *
@@ -55,10 +65,10 @@
     Optional<String> proofOfOrigin(HttpHeaders headers);
 
     /**
-     * Returns the identifier of the request to which a response belongs.
+     * Returns the identifiers of requests that a response states.
      *
      * @param headers the headers of the response
-     * @return the identifier; empty if not stated
+     * @return the distinct identifiers, none of which is blank; a response that belongs to one request states one
      */
-    Optional<String> responseRequestId(HttpHeaders headers);
+    Set<String> responseRequestIds(HttpHeaders headers);
 }
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -0,0 +1,193 @@
+package org.lovagethread.gateway.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.ByteArrayOutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagethread.core.error.ErrorKind;
+import org.lovagethread.gateway.GatewaySettings;
+import org.lovagethread.gateway.config.ClientLimits;
+import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.store.FakeStore;
+
+class CallerChannelHandlerTest {
+    private static final HttpHeaders NO_HEADERS = new DefaultHttpHeaders();
+
+    private final Gateway gateway = new Gateway(
+            settings(),
+            client -> new PlatformPorts(new FakeStore(), null, null, new FakeExchangeContext(0), null),
+            new EventLog("node", new ByteArrayOutputStream()));
+    private final CallerChannelHandler handler = new CallerChannelHandler(gateway.callerServer(), ClientLimits.DEFAULT);
+    private final EmbeddedChannel channel =
+            new EmbeddedChannel(new StrictRequestDecoder(65_536), new HttpResponseEncoder(), handler);
+
+    private static ByteBuf text() {
+        return Unpooled.copiedBuffer("error", StandardCharsets.US_ASCII);
+    }
+
+    private static GatewaySettings settings() {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        return new GatewaySettings(
+                "node",
+                "127.0.0.1",
+                "a",
+                Map.of("a", "north"),
+                address,
+                address,
+                address,
+                0,
+                address,
+                1,
+                List.of(),
+                new GatewaySettings.Bounds(10_000, 0.2, 52, 10_000, 0.1, 100, 5_000, 5_000, 2_000, 2_000));
+    }
+
+    @BeforeEach
+    void startStream() {
+        channel.writeInbound(Unpooled.copiedBuffer(
+                "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n", StandardCharsets.US_ASCII));
+        handler.startStream(HttpResponseStatus.OK, NO_HEADERS);
+        handler.sendStreamData(Unpooled.copiedBuffer("id: 1\n\n", StandardCharsets.US_ASCII));
+    }
+
+    private String written() {
+        StringBuilder text = new StringBuilder();
+        ByteBuf bytes = channel.readOutbound();
+        while (bytes != null) {
+            text.append(bytes.toString(StandardCharsets.US_ASCII));
+            bytes = channel.readOutbound();
+        }
+        return text.toString();
+    }
+
+    private void assertAbortedWithOneHead() {
+        assertThat(channel.isActive()).isFalse();
+        assertThat(written())
+                .containsOnlyOnce("HTTP/1.1")
+                .doesNotContain("error")
+                .doesNotEndWith("0\r\n\r\n");
+    }
+
+    @Test
+    void doesNotWriteResponseIntoStream() {
+        assertThatThrownBy(() -> handler.sendResponse(HttpResponseStatus.NOT_FOUND, NO_HEADERS, text()))
+                .isInstanceOf(IllegalStateException.class);
+        assertAbortedWithOneHead();
+    }
+
+    @Test
+    void doesNotWriteErrorIntoStream() {
+        assertThatThrownBy(() -> handler.sendError(ErrorKind.UPSTREAM_FAILED, 0))
+                .isInstanceOf(IllegalStateException.class);
+        assertAbortedWithOneHead();
+    }
+
+    @Test
+    void doesNotStartStreamTwice() {
+        assertThatThrownBy(() -> handler.startStream(HttpResponseStatus.OK, NO_HEADERS))
+                .isInstanceOf(IllegalStateException.class);
+        assertAbortedWithOneHead();
+    }
+
+    @Test
+    void doesNotContinueStreamAfterItsEnd() {
+        handler.endStream();
+        String before = written();
+        assertThatThrownBy(() -> handler.sendStreamData(text())).isInstanceOf(IllegalStateException.class);
+        assertThat(before).endsWith("0\r\n\r\n");
+        assertThat(written()).isEmpty();
+    }
+
+    @Nested
+    class CloseDelimitedStreams {
+        private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+        private final CompletableFuture<CallerChannelHandler> accepted = new CompletableFuture<>();
+
+        @AfterEach
+        void stop() {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+
+        private Channel listen() throws InterruptedException {
+            return new ServerBootstrap()
+                    .group(group)
+                    .channel(NioServerSocketChannel.class)
+                    .childHandler(new ChannelInitializer<SocketChannel>() {
+                        @Override
+                        protected void initChannel(SocketChannel connection) {
+                            CallerChannelHandler caller =
+                                    new CallerChannelHandler(gateway.callerServer(), ClientLimits.DEFAULT);
+                            connection
+                                    .pipeline()
+                                    .addLast(new StrictRequestDecoder(65_536), new HttpResponseEncoder(), caller)
+                                    .addLast(new ChannelInboundHandlerAdapter() {
+                                        @Override
+                                        public void channelReadComplete(ChannelHandlerContext ctx) {
+                                            accepted.complete(caller);
+                                        }
+                                    });
+                        }
+                    })
+                    .bind(InetAddress.getLoopbackAddress(), 0)
+                    .sync()
+                    .channel();
+        }
+
+        private byte[] readStream(Consumer<CallerChannelHandler> ending) throws Exception {
+            InetSocketAddress address = (InetSocketAddress) listen().localAddress();
+            try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+                socket.setSoTimeout(5_000);
+                socket.getOutputStream()
+                        .write("POST /x HTTP/1.0\r\nHost: h\r\nContent-Length: 5\r\n\r\n"
+                                .getBytes(StandardCharsets.US_ASCII));
+                CallerChannelHandler caller = accepted.get(5_000, TimeUnit.MILLISECONDS);
+                group.next().execute(() -> {
+                    caller.startStream(HttpResponseStatus.OK, NO_HEADERS);
+                    caller.sendStreamData(text());
+                    ending.accept(caller);
+                });
+                return socket.getInputStream().readAllBytes();
+            }
+        }
+
+        @Test
+        void areResetIfTheyAreAborted() {
+            assertThatThrownBy(() -> readStream(CallerChannelHandler::abort)).isInstanceOf(SocketException.class);
+        }
+
+        @Test
+        void areClosedIfTheyAreComplete() throws Exception {
+            assertThat(new String(readStream(CallerChannelHandler::endStream), StandardCharsets.US_ASCII))
+                    .endsWith("\r\n\r\nerror");
+        }
+    }
+}
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -2,8 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lovagethread.gateway.config.RouteKind;
 import org.lovagethread.gateway.policy.RetryBudget;
 
@@ -61,6 +64,15 @@
             context.lastAttempt().respond(500, FakeExchangeContext.PROOF, "error");
             assertThat(context.response).isEqualTo("500 error");
         }
+
+        @ParameterizedTest
+        @ValueSource(ints = {429, 503})
+        void areNotReportedAsNotExecutedIfTheUpstreamDoesNotStateIt(int status) {
+            context.start(RouteKind.AT_MOST_ONCE, false, 1);
+            context.lastAttempt().respond(status, FakeExchangeContext.PROOF, "busy");
+            assertThat(context.attempts).hasSize(1);
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+        }
     }
 
     @Nested
@@ -236,6 +248,159 @@
         }
     }
 
+    @Nested
+    class ResumedStreams {
+        private static final String BEGUN = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+        private FakeExchangeContext.FakeAttempt resume() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData(BEGUN);
+            context.lastAttempt().listener.onFailure("reset");
+            assertThat(context.attempts).hasSize(2);
+            return context.lastAttempt();
+        }
+
+        private void assertAbortedAfter(String events) {
+            assertThat(context.streamedEvents).hasToString(events);
+            assertThat(context.response).isEqualTo("200 stream aborted");
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {302, 400, 404, 409, 429, 500, 503})
+        void areAbortedAfterAnErrorOfTheNextUpstream(int status) {
+            resume().respond(status, FakeExchangeContext.PROOF, "error\n\n");
+            assertAbortedAfter(BEGUN);
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {200, 302, 404, 409, 503})
+        void areAbortedAfterAResponseWithoutProofOfOrigin(int status) {
+            resume().respond(status, "other", "error\n\n");
+            assertAbortedAfter(BEGUN);
+        }
+
+        @Test
+        void areAbortedAfterRefusalsOfAllOtherUpstreams() {
+            resume().respond(503, FakeExchangeContext.NOT_RUN, "busy\n\n");
+            context.lastAttempt().respond(503, FakeExchangeContext.NOT_RUN, "busy\n\n");
+            assertAbortedAfter(BEGUN);
+        }
+
+        @Test
+        void areResumedAtAThirdUpstreamIfTheSecondRefuses() {
+            context.start(RouteKind.EVENT_STREAM, true, 3);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData(BEGUN);
+            context.lastAttempt().listener.onFailure("reset");
+            context.lastAttempt().respond(409, FakeExchangeContext.PROOF, "error");
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 3\ndata: c\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.streamedEvents).hasToString(BEGUN + "id: 3\ndata: c\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        @Test
+        void areAbortedAfterASuccessOfAnotherMediaType() {
+            FakeExchangeContext.FakeAttempt next = resume();
+            next.sendHeader(200, FakeExchangeContext.PROOF, "application/json");
+            next.sendData("{}\n\n");
+            next.listener.onEnd();
+            assertAbortedAfter(BEGUN);
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {200, 204})
+        void areAbortedIfTheNextUpstreamSendsNoEvent(int status) {
+            FakeExchangeContext.FakeAttempt next = resume();
+            next.sendHeader(status, FakeExchangeContext.PROOF);
+            next.listener.onEnd();
+            assertAbortedAfter(BEGUN);
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {"id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n", "id: 4\ndata: d\n\n", "data: c\n\n"
+                })
+        void areAbortedIfTheNextUpstreamDoesNotContinueAfterTheLastEvent(String events) {
+            FakeExchangeContext.FakeAttempt next = resume();
+            next.sendHeader(200, FakeExchangeContext.PROOF);
+            next.sendData(events);
+            next.listener.onEnd();
+            assertAbortedAfter(BEGUN);
+        }
+
+        @Test
+        void areNotResumedAfterAnEventWithoutIdentifier() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("data: a\n\n");
+            context.lastAttempt().listener.onFailure("reset");
+            assertThat(context.attempts).hasSize(1);
+            assertAbortedAfter("data: a\n\n");
+        }
+
+        @Test
+        void doNotContainEventsOfAFailedAttempt() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\nid: 3\ndata: c\n\nid: 2\ndata: old\n\n");
+            assertThat(context.attempts).hasSize(2);
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\n");
+            context.attempts.get(0).sendData("id: 2\ndata: late\n\n");
+            context.attempts.get(0).listener.onEnd();
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 2\ndata: b\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+    }
+
+    @Nested
+    class InternalErrors {
+        @Test
+        void endTheRequestWithAnError() {
+            context.responseFailure = Optional.of(new IllegalArgumentException("invalid header"));
+            context.start(RouteKind.AT_MOST_ONCE, false, 1);
+            context.lastAttempt().respond(200, FakeExchangeContext.PROOF, "booked");
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+            assertThat(context.record.outcome()).isEqualTo("internal-error");
+        }
+
+        @Test
+        void doNotStartAStreamWithoutItsHeader() {
+            context.responseFailure = Optional.of(new IllegalArgumentException("invalid header"));
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\n");
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+            assertThat(context.streamedEvents).hasToString("");
+            assertThat(context.lastAttempt().cancelled).isTrue();
+        }
+
+        @Test
+        void abortAStreamThatHasStarted() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\n");
+            context.responseFailure = Optional.of(new IllegalStateException("failure"));
+            context.lastAttempt().sendData("id: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream aborted");
+            assertThat(context.lastAttempt().cancelled).isTrue();
+        }
+
+        @Test
+        void inTheFirstAttemptEndTheRequestWithAnError() {
+            context.sendFailure = Optional.of(new IllegalArgumentException("port out of range"));
+            context.start(RouteKind.IDEMPOTENT, false, 2);
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+            assertThat(context.upstreams.all())
+                    .allMatch(upstream -> upstream.load().local().inFlight() == 0);
+        }
+    }
+
     @Nested
     class DisconnectedCaller {
         @Test
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.RouteKind;
@@ -46,6 +48,8 @@
     long unobservedMillis;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
     String response = "";
+    Optional<RuntimeException> responseFailure = Optional.empty();
+    Optional<RuntimeException> sendFailure = Optional.empty();
     ExchangeRecord record;
     private final EngineModels engineModels = new EngineModels();
     private final TokenQuota quota = new TokenQuota(0, 0);
@@ -73,9 +77,13 @@
         public void setReading(boolean reading) {}
 
         void sendHeader(int status, String header) {
+            sendHeader(status, header, "text/event-stream");
+        }
+
+        void sendHeader(int status, String header, String mediaType) {
             HttpResponse responseHeader =
                     new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-            responseHeader.headers().set(header, "1");
+            responseHeader.headers().set(header, "1").set("Content-Type", mediaType);
             listener.onHeader(responseHeader);
         }
 
@@ -130,6 +138,7 @@
             ByteBuf body,
             boolean requireFresh,
             Listener listener) {
+        failIfSet(sendFailure);
         FakeAttempt attempt = new FakeAttempt(upstream, Long.parseLong(headers.get("last")), listener);
         attempts.add(attempt);
         return attempt;
@@ -138,7 +147,7 @@
     @Override
     public RequestAttributes readAttributes(HttpRequest request) {
         return new RequestAttributes(
-                "id",
+                request.headers().get("X-Request-Id", "id"),
                 Optional.empty(),
                 OptionalLong.of(2_500),
                 OptionalInt.empty(),
@@ -157,18 +166,33 @@
         return response.headers().contains(NOT_RUN);
     }
 
+    @Override
+    public boolean promisesNotRun(HttpResponseStatus status) {
+        return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
+                || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     @Override
     public Optional<String> proofOfOrigin(HttpHeaders headers) {
         return Optional.ofNullable(headers.get(PROOF));
     }
 
     @Override
-    public Optional<String> responseRequestId(HttpHeaders headers) {
-        return Optional.of(headers.get("X-Request-Id", "id"));
+    public Set<String> responseRequestIds(HttpHeaders headers) {
+        return headers.getAll("X-Request-Id").stream()
+                .filter(id -> !id.isBlank())
+                .collect(Collectors.toSet());
+    }
+
+    private void failIfSet(Optional<RuntimeException> failure) {
+        failure.ifPresent(exception -> {
+            throw exception;
+        });
     }
 
     @Override
     public void sendResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+        failIfSet(responseFailure);
         response = status.code() + " " + body.toString(StandardCharsets.UTF_8);
     }
 
@@ -179,11 +203,13 @@
 
     @Override
     public void startStream(HttpResponseStatus status, HttpHeaders headers) {
+        failIfSet(responseFailure);
         response = status.code() + " stream";
     }
 
     @Override
     public boolean sendStreamData(ByteBuf bytes) {
+        failIfSet(responseFailure);
         streamedEvents.append(bytes.toString(StandardCharsets.UTF_8));
         return true;
     }
