Refuse late requests of a stopping gateway instead of its connections

Cause: the port for callers was closed as soon as the drain time was over, although the process went on for seconds.

Change: the port stays open until all requests have ended. Requests after the drain time get 503, a promise that lets the caller go on elsewhere. The port is closed 60 ms before the process ends, which answers what it has received.

Connections are not closed as idle while the event loop lags, as a request may be waiting to be read. A failure to read the id of a request that failed no longer keeps the failure from being logged.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -129,7 +129,8 @@
         idleTimeoutMillis = Math.max(idleTimeoutMillis, server.limits().idleTimeoutMillis());
         boolean isIdle = request == null;
         long limit = isIdle ? idleTimeoutMillis : limits.headerTimeoutMillis() + idleTimeoutMillis;
-        if (nowMillis - lastActiveMillis > limit || (isIdle && lastActiveMillis < idleDeadlineMillis)) {
+        boolean expired = nowMillis - lastActiveMillis > limit || (isIdle && lastActiveMillis < idleDeadlineMillis);
+        if (expired && !server.isLagging()) {
             server.recordClosedConnection(isIdle ? CloseReason.IDLE : CloseReason.SLOW_REQUEST);
             closing = true;
             channel.close();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
@@ -155,7 +155,8 @@
             connection.sendError(refusal.kind(), refusal.retryAfterMillis());
             return;
         }
-        if (decision.get().route().isStreaming() && now - drainStartMillis > STREAM_ACCEPT_MILLIS) {
+        if (gateway.hasDrained()
+                || (decision.get().route().isStreaming() && now - drainStartMillis > STREAM_ACCEPT_MILLIS)) {
             gateway.refundQuota(decision.get());
             gateway.recordRefusal(
                     request,
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -169,6 +169,11 @@
         return (InetSocketAddress) callerListener.localAddress();
     }
 
+    /** Returns whether this gateway is stopping and refuses all further requests. */
+    boolean hasDrained() {
+        return shutdown.hasDrained(nowMillis());
+    }
+
     /** Closes the port for callers. Connections that are open stay open. */
     void stopAccepting() {
         callerListener.close();
@@ -288,11 +293,20 @@
         if (failureLines.tryAcquire(nowMillis())) {
             log.add(log.line("connection-failed")
                     .put("omitted_before", failureLines.resetOmitted())
-                    .put("request", ports.headerCodec().readAttributes(request).requestId())
+                    .put("request", requestIdOrEmpty(request))
                     .put("reason", cause.toString()));
         }
     }
 
+    /** Returns the id of a request; empty if reading it fails, which may be what is logged. */
+    private String requestIdOrEmpty(HttpRequest request) {
+        try {
+            return ports.headerCodec().readAttributes(request).requestId();
+        } catch (RuntimeException e) {
+            return "";
+        }
+    }
+
     @Override
     public void onExchangeEnded(Exchange exchange, ExchangeRecord record) {
         AdmittedRequest admitted = record.admitted();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
@@ -17,11 +17,14 @@
     /** Time for sending the last responses, in milliseconds. */
     private static final long FLUSH_MILLIS = 200;
 
+    /** Time for answering what was received before the port for callers was closed, in milliseconds. */
+    private static final long LAST_READ_MILLIS = 60;
+
     private final Gateway gateway;
     private final long graceMillis;
     private long startMillis = -1;
-    private boolean accepting = true;
     private boolean requestsEnded;
+    private long lastReadMillis = Long.MAX_VALUE;
     private boolean stopped;
 
     Shutdown(Gateway gateway, GatewaySettings.Bounds bounds) {
@@ -51,12 +54,27 @@
      * @return the time; after the drain time shortly before now, since a caller may be about to reuse a connection
      */
     long idleDeadlineMillis(long nowMillis) {
-        return accepting ? Long.MIN_VALUE : nowMillis - REUSE_MILLIS;
+        return hasDrained(nowMillis) ? nowMillis - REUSE_MILLIS : Long.MIN_VALUE;
     }
 
     /**
-     * Closes the port for callers at the end of the drain time, so that no request is read that the gateway can't
-     * finish. Stops the gateway when all requests have ended, or ends them when the grace period is about to end.
+     * Returns whether the drain time is over, so that requests of callers that still connect are refused.
+     *
+     * @param nowMillis the current time in milliseconds
+     * @return true from the end of the drain time on
+     */
+    boolean hasDrained(long nowMillis) {
+        return startMillis >= 0 && nowMillis - startMillis > Math.min(CALLER_DRAIN_MILLIS, lastRequestMillis());
+    }
+
+    /** Returns the time from the start of the shutdown at which requests in progress are ended, in milliseconds. */
+    private long lastRequestMillis() {
+        return graceMillis - EXIT_MARGIN_MILLIS - FLUSH_MILLIS;
+    }
+
+    /**
+     * Stops the gateway when all requests have ended, or ends them when the grace period is about to end. Before it
+     * stops, the port for callers is closed and what has been received by then is answered.
      *
      * @param nowMillis the current time in milliseconds
      */
@@ -65,17 +83,17 @@
             return;
         }
         long elapsedMillis = nowMillis - startMillis;
-        long lastMillis = graceMillis - EXIT_MARGIN_MILLIS;
-        if (accepting && elapsedMillis > Math.min(CALLER_DRAIN_MILLIS, lastMillis - FLUSH_MILLIS)) {
-            accepting = false;
-            gateway.stopAccepting();
-        }
-        if (!requestsEnded && elapsedMillis > lastMillis - FLUSH_MILLIS) {
+        if (!requestsEnded && elapsedMillis > lastRequestMillis()) {
             requestsEnded = true;
             gateway.callerServer().shutDown(nowMillis);
         }
-        boolean idle = !accepting && gateway.callerServer().openConnections() == 0;
-        if (idle || elapsedMillis > lastMillis) {
+        boolean idle = hasDrained(nowMillis) && gateway.callerServer().activeRequests() == 0;
+        if ((idle || requestsEnded) && lastReadMillis == Long.MAX_VALUE) {
+            lastReadMillis = nowMillis + LAST_READ_MILLIS;
+            gateway.stopAccepting();
+        }
+        boolean closed = nowMillis >= lastReadMillis && gateway.callerServer().openConnections() == 0;
+        if (closed || elapsedMillis > graceMillis - EXIT_MARGIN_MILLIS) {
             stopped = true;
             gateway.signalStopped();
         }
