Return to a silent upstream if its replacement fails at once

Cause: the silent attempt was cancelled when its replacement was sent, before it was known whether the replacement would be served.

Change: the silent attempt is suspended until the first event of the replacement, for at most 0.3 s. If the replacement fails by then, the exchange returns to it. Streams that must not run twice take fresh connections only, like other such requests.

areRetriedIfTheUpstreamIsInactive demanded that the silent attempt is cancelled in the same tick; it now demands it within 0.3 s.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -14,7 +14,6 @@
 import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.Customer;
 import org.lovagethread.gateway.config.Route;
-import org.lovagethread.gateway.config.RouteKind;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.engine.EngineModel;
 import org.lovagethread.gateway.policy.Admission;
@@ -36,6 +35,12 @@
     /** Minimum time before the deadline for starting an attempt, in milliseconds. */
     private static final long MIN_ATTEMPT_MILLIS = 25;
 
+    /**
+     * Time for which a silent attempt is kept beside its replacement, in milliseconds. Upstreams must not work on the
+     * same request for longer.
+     */
+    private static final long SUSPENSION_MILLIS = 300;
+
     /** Maximum size of a buffered response, in bytes. Event streams are not buffered. */
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
@@ -59,6 +64,8 @@
     private final ExchangeRecord record;
 
     private Attempt attempt;
+    private Optional<Attempt> suspended = Optional.empty();
+    private long suspensionDeadlineMillis;
     private int attempts;
     private int possibleRuns;
     private boolean ended;
@@ -86,6 +93,7 @@
         private boolean firstEventReceived;
         private long firstEventMillis;
         private boolean responseEnded;
+        private boolean silenceRecorded;
         private long bytesSinceEvent;
 
         private Attempt(
@@ -176,8 +184,26 @@
             onDeadline(nowMillis);
             return;
         }
-        if (attempt != null && !readingPaused && isInactive()) {
-            replaceSilentAttempt(nowMillis);
+        if (suspended.isPresent() && nowMillis >= suspensionDeadlineMillis) {
+            endSuspended();
+        }
+        if (attempt != null && !readingPaused && AttemptOutcome.SILENT.allowsRetry(route, possibleRuns + 1)) {
+            checkSilence(nowMillis);
+        }
+    }
+
+    private void checkSilence(long nowMillis) {
+        if (!isInactive()) {
+            return;
+        }
+        if (!attempt.silenceRecorded) {
+            attempt.silenceRecorded = true;
+            attempt.upstream.failureDetector().recordUnreachable(nowMillis, InactivityTimeout.AVOIDANCE_MILLIS);
+        }
+        if (context.hasHealthyUpstream(service.name(), triedUpstreams, nowMillis)
+                && tryReserveRetry(AttemptOutcome.SILENT, possibleRuns + 1, nowMillis)) {
+            suspendAttempt(nowMillis);
+            retry(nowMillis);
         }
     }
 
@@ -188,20 +214,30 @@
         return inactiveMillis > timeout.timeoutMillis((long) attempt.choice.predictedLatencyMillis(), upstreamActive);
     }
 
-    /**
-     * Retries the request at another upstream because the current one is silent. Keeps the current attempt if no retry
-     * is possible, since a silent upstream may still respond.
-     */
-    private void replaceSilentAttempt(long nowMillis) {
-        boolean alternativeHealthy = context.hasHealthyUpstream(service.name(), triedUpstreams, nowMillis);
-        if (alternativeHealthy && tryReserveRetry(AttemptOutcome.SILENT, possibleRuns + 1, nowMillis)) {
-            attempt.upstream.failureDetector().recordUnreachable(nowMillis, InactivityTimeout.AVOIDANCE_MILLIS);
-            endFailedAttempt(
-                    AttemptOutcome.SILENT,
-                    "no data received from the upstream within the inactivity timeout",
-                    nowMillis);
-            retry(nowMillis);
-        }
+    /** Stops reading from the current attempt, and keeps it for the case that its replacement fails at once. */
+    private void suspendAttempt(long nowMillis) {
+        record.recordFailure(AttemptOutcome.SILENT, "no data within the inactivity timeout", nowMillis);
+        endSuspended();
+        possibleRuns++;
+        suspensionDeadlineMillis = nowMillis + SUSPENSION_MILLIS;
+        attempt.handle.setReading(false);
+        suspended = Optional.of(attempt);
+        attempt = null;
+    }
+
+    /** Continues with the suspended attempt, because its replacement failed before the first event. */
+    private void resumeSuspended(long nowMillis) {
+        attempt = suspended.orElseThrow();
+        suspended = Optional.empty();
+        possibleRuns--;
+        record.recordResumption(attempt.upstream.entry(), nowMillis);
+        attempt.recordBytes(nowMillis, context.observedMillis());
+        attempt.handle.setReading(true);
+    }
+
+    private void endSuspended() {
+        suspended.ifPresent(Exchange::release);
+        suspended = Optional.empty();
     }
 
     private void dispatch(long nowMillis) {
@@ -275,7 +311,7 @@
                         request,
                         headers,
                         body,
-                        route.kind() == RouteKind.AT_MOST_ONCE,
+                        !route.isRetryable(),
                         new AttemptListener(this, () -> attempt == newAttempt, this::onInternalError));
         if (attempt == newAttempt) {
             newAttempt.handle = handle;
@@ -406,6 +442,7 @@
     }
 
     private void onFirstEvent(long nowMillis) {
+        endSuspended();
         attempt.firstEventReceived = true;
         attempt.firstEventMillis = nowMillis;
         attempt.upstream.load().recordFirstEvent(attempt.choice.unreadTokens());
@@ -484,6 +521,10 @@
     }
 
     private void giveUp(AttemptOutcome outcome, String reason, long nowMillis) {
+        if (suspended.isPresent() && (streamStarted || upstreamError.isEmpty())) {
+            resumeSuspended(nowMillis);
+            return;
+        }
         record.recordReason(reason);
         if (streamStarted) {
             caller.abort();
@@ -570,6 +611,7 @@
 
     private void finish(String outcome, long nowMillis) {
         ended = true;
+        endSuspended();
         endAttempt();
         record.recordOutcome(outcome, nowMillis);
         context.onExchangeEnded(this, record);
@@ -583,6 +625,10 @@
         }
         attempt = null;
         readingPaused = false;
+        release(finished);
+    }
+
+    private static void release(Attempt finished) {
         finished.upstream
                 .load()
                 .recordEnd(finished.firstEventReceived, finished.choice.unreadTokens(), finished.memoryTokens);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeRecord.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeRecord.java
@@ -50,6 +50,15 @@
                 .append(failureReason);
     }
 
+    /** Records that the exchange returns to an attempt because its replacement failed. */
+    void recordResumption(UpstreamEntry upstream, long nowMillis) {
+        attempts.append("; back to ")
+                .append(upstream.id())
+                .append(" at ")
+                .append(nowMillis - startedMillis)
+                .append(" ms");
+    }
+
     void recordFirstEvent(long nowMillis) {
         firstEventMillis = nowMillis - startedMillis;
     }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -100,8 +100,10 @@
             Exchange exchange = context.start(RouteKind.IDEMPOTENT, false, 2);
             context.currentMillis += 1_000;
             exchange.tick(context.currentMillis);
-            assertThat(context.attempts.get(0).cancelled).isTrue();
             assertThat(context.attempts).hasSize(2);
+            context.currentMillis += 300;
+            exchange.tick(context.currentMillis);
+            assertThat(context.attempts.get(0).cancelled).isTrue();
         }
 
         @Test
@@ -243,8 +245,48 @@
         void areReplacedBeforeTheCallerAbandonsTheStream() {
             Exchange exchange = startStream(context);
             advance(context, exchange, 1_600);
-            assertThat(context.attempts.get(0).cancelled).isTrue();
             assertThat(context.attempts).hasSize(2);
+            advance(context, exchange, 350);
+            assertThat(context.attempts.get(0).cancelled).isTrue();
+        }
+
+        @Test
+        void doNotCutAStreamWhoseReplacementFailsAtOnce() {
+            Exchange exchange = startStream(context);
+            advance(context, exchange, 1_600);
+            context.lastAttempt().respond(500, FakeExchangeContext.PROOF, "error");
+            FakeExchangeContext.FakeAttempt first = context.attempts.get(0);
+            assertThat(first.cancelled).isFalse();
+            first.sendData("id: 2\ndata: b\n\n");
+            first.listener.onEnd();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        @Test
+        void areCancelledWhenTheirReplacementBegins() {
+            Exchange exchange = startStream(context);
+            advance(context, exchange, 1_600);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 2\ndata: b\n\n");
+            assertThat(context.attempts.get(0).cancelled).isTrue();
+            context.attempts.get(0).sendData("id: 2\ndata: late\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        }
+
+        @Test
+        void areAvoidedEvenIfTheRequestCannotBeRetried() {
+            context.retryBudget = new RetryBudget(0, 0, 10_000);
+            Exchange exchange = startStream(context);
+            String silentId = context.lastAttempt().upstream.id();
+            advance(context, exchange, 1_600);
+            assertThat(context.upstreams
+                            .find(silentId)
+                            .orElseThrow()
+                            .failureDetector()
+                            .shouldAvoid(context.currentMillis))
+                    .isTrue();
         }
     }
 
