--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -195,7 +195,8 @@
         if (!bytes.isReadable()) {
             return;
         }
-        if (body.readableBytes() + bytes.readableBytes() > limits.maxBodyBytes()) {
+        int maxBodyBytes = Math.max(limits.maxBodyBytes(), server.limits().maxBodyBytes());
+        if (body.readableBytes() + bytes.readableBytes() > maxBodyBytes) {
             responding = true;
             closing = true;
             sendError(ErrorKind.BODY_TOO_LARGE, 0);
@@ -388,7 +389,6 @@
         request = null;
         releaseBody();
         lastActiveMillis = server.nowMillis();
-        idleTimeoutMillis = server.limits().idleTimeoutMillis();
         closing = closing || close;
         responding = close;
         while (!responding && !queued.isEmpty()) {
