Log which prompt parts were unanswered when an upstream crashed

Callers saw broken streams and 502 while engines crashed one after the other; the logs showed only attempts that were BROKEN, without what the crashes had in common. Neither a prompt part that crashes engines, nor plain crashes, nor overload could be told apart from them. Change: CrashLog groups the broken connections of one incarnation of an upstream into one crash; an incarnation that sends data afterwards has not crashed. Half a second later a line upstream-broke-connections (40 a second at most) states the upstream, its incarnation, the requests in flight, those without an event and their shared prompt parts. The counter lovagethread_upstream_breaks_total counts them by service and by whether the upstream crashed.

--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CrashReporter.java
@@ -0,0 +1,46 @@
+package org.lovagethread.gateway.http;
+
+import java.util.stream.Collectors;
+import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.log.GatewayMetrics;
+import org.lovagethread.gateway.log.LogRateLimiter;
+import org.lovagethread.gateway.policy.CrashLog;
+
+/** Writes the crashes of upstreams to the log and to the metrics. */
+final class CrashReporter {
+    private static final int MAX_LINES_PER_SECOND = 40;
+
+    /** Maximum number of prompt parts in a line. */
+    private static final int MAX_PARTS = 20;
+
+    private final EventLog log;
+    private final GatewayMetrics metrics;
+    private final LogRateLimiter lines = new LogRateLimiter(MAX_LINES_PER_SECOND);
+
+    CrashReporter(EventLog log, GatewayMetrics metrics) {
+        this.log = log;
+        this.metrics = metrics;
+    }
+
+    /** Reports the crashes that have not been reported before. */
+    void report(CrashLog crashLog, long nowMillis) {
+        for (CrashLog.Crash crash : crashLog.takeUnreported(nowMillis)) {
+            metrics.recordUpstreamBreak(crash.upstream().service(), !crash.isRefuted());
+            if (!lines.tryAcquire(nowMillis)) {
+                continue;
+            }
+            log.add(log.line("upstream-broke-connections")
+                    .put("upstream", crash.upstream().id())
+                    .put("service", crash.upstream().service())
+                    .put("incarnation", crash.upstream().startedAtMillis())
+                    .put("crash", Integer.toHexString(crash.id()))
+                    .put("crashed", !crash.isRefuted())
+                    .put("requests", crash.brokenRequests())
+                    .put("unanswered", crash.unansweredRequests())
+                    .put(
+                            "unanswered_parts",
+                            crash.unansweredParts().stream().limit(MAX_PARTS).collect(Collectors.joining(" ")))
+                    .put("omitted_before", lines.resetOmitted()));
+        }
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -308,6 +308,8 @@
             attempt.responseEnded = true;
             long now = context.nowMillis();
             attempt.upstream.failureDetector().recordOutcome(false, now);
+            context.crashLog()
+                    .recordBreak(attempt.upstream.entry(), attributes.prefix(), attempt.firstEventReceived, now);
             onAttemptFailed(AttemptOutcome.BROKEN, reason, now);
         }
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -5,6 +5,7 @@
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.policy.Admission;
+import org.lovagethread.gateway.policy.CrashLog;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
@@ -33,6 +34,9 @@
     /** Returns the retry budget. */
     RetryBudget retryBudget();
 
+    /** Returns the log of the crashes of upstreams. */
+    CrashLog crashLog();
+
     /** Returns the token quotas of customers. */
     TokenQuota quota();
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -33,6 +33,7 @@
 import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.policy.AddressPolicy;
 import org.lovagethread.gateway.policy.Admission;
+import org.lovagethread.gateway.policy.CrashLog;
 import org.lovagethread.gateway.policy.LagDetector;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.RetryBudget;
@@ -61,10 +62,12 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final EngineModels engineModels = new EngineModels();
     private final Admission admission = new Admission();
+    private final CrashLog crashLog = new CrashLog();
     private final TokenQuota quota;
     private final ClusterClock clock = new ClusterClock();
     private final LogRateLimiter successLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
     private final LogRateLimiter refusedLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
+    private final CrashReporter crashReporter;
     private final LagDetector lagDetector = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AddressPolicy addressPolicy;
@@ -93,6 +96,7 @@
     public Gateway(GatewaySettings settings, Function<PooledHttpClient, PlatformPorts> portsFactory, EventLog log) {
         this.settings = settings;
         this.log = log;
+        this.crashReporter = new CrashReporter(log, metrics);
         PooledHttpClient httpClient = new PooledHttpClient(loop);
         this.ports = portsFactory.apply(httpClient);
         GatewaySettings.Bounds bounds = settings.bounds();
@@ -196,6 +200,8 @@
             lease.tick(sync.isComplete() && !callerServer.isDraining() && peerExchange.isPreferredLeader(nowMillis));
             logLeaseChange();
             usageReporter.tick();
+            crashLog.update(upstreams, nowMillis);
+            crashReporter.report(crashLog, nowMillis);
             configuration().ifPresent(current -> fleetManager.tick(current, quota.tokensPerSecond(nowMillis)));
         }
         if (ticks % 25 == 0) {
@@ -426,6 +432,11 @@
         return retryBudget;
     }
 
+    @Override
+    public CrashLog crashLog() {
+        return crashLog;
+    }
+
     @Override
     public TokenQuota quota() {
         return quota;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -35,6 +35,11 @@
             .help("Connections of callers that ended with an error.")
             .labelNames("cause")
             .register(registry);
+    private final Counter upstreamBreaks = Counter.builder()
+            .name("lovagethread_upstream_breaks_total")
+            .help("Incarnations of upstreams that broke connections with requests, by whether they crashed.")
+            .labelNames("service", "crashed")
+            .register(registry);
     private final Gauge stateGauges = Gauge.builder()
             .name("lovagethread_state")
             .help("State of the gateway by name.")
@@ -72,6 +77,16 @@
         connectionFailures.labelValues(cause).inc();
     }
 
+    /**
+     * Counts an incarnation of an upstream that broke connections with requests.
+     *
+     * @param service the name of its service
+     * @param crashed whether it has sent no data since
+     */
+    public void recordUpstreamBreak(String service, boolean crashed) {
+        upstreamBreaks.labelValues(service, Boolean.toString(crashed)).inc();
+    }
+
     /**
      * Sets a gauge of the state of the gateway.
      *
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrashLog.java
@@ -0,0 +1,200 @@
+package org.lovagethread.gateway.policy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.lovagethread.gateway.upstream.Upstream;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.gateway.upstream.UpstreamTable;
+
+/**
+ * Groups the connections that upstreams broke during requests into crashes. Not thread-safe.
+ *
+ * <p>All broken connections of one incarnation of an upstream belong to one crash. An incarnation that sends data
+ * afterwards has not crashed.
+ */
+public final class CrashLog {
+    /** Time for which a crash is kept, in milliseconds. */
+    public static final long RETENTION_MILLIS = 60_000;
+
+    /** Time in which data that was sent before a crash may still be read, in milliseconds. */
+    private static final long SETTLING_MILLIS = 250;
+
+    private static final int MAX_CRASHES = 64;
+    private static final int MAX_PARTS_PER_CRASH = 128;
+
+    private final Map<Integer, Crash> byId = new LinkedHashMap<>();
+
+    /** Broken connections of one incarnation of an upstream. */
+    public static final class Crash {
+        private final UpstreamEntry upstream;
+        private final long atMillis;
+        private final Set<String> unansweredParts = new LinkedHashSet<>();
+        private int brokenRequests;
+        private int unansweredRequests;
+        private boolean reported;
+        private boolean refuted;
+
+        private Crash(UpstreamEntry upstream, long atMillis) {
+            this.upstream = upstream;
+            this.atMillis = atMillis;
+        }
+
+        /**
+         * Returns the registration of the upstream.
+         *
+         * @return its entry when its first connection broke
+         */
+        public UpstreamEntry upstream() {
+            return upstream;
+        }
+
+        /**
+         * Returns the identifier of the crash, which is the same at all gateways.
+         *
+         * @return a hash of the incarnation
+         */
+        public int id() {
+            return idOf(upstream);
+        }
+
+        /**
+         * Returns when the first connection broke.
+         *
+         * @return the time in milliseconds
+         */
+        public long atMillis() {
+            return atMillis;
+        }
+
+        /**
+         * Returns the number of requests whose connections broke.
+         *
+         * @return the requests of this gateway
+         */
+        public int brokenRequests() {
+            return brokenRequests;
+        }
+
+        /**
+         * Returns how many of the requests had received no event.
+         *
+         * @return the requests of this gateway
+         */
+        public int unansweredRequests() {
+            return unansweredRequests;
+        }
+
+        /**
+         * Returns the shared prompt parts of the requests that had received no event.
+         *
+         * @return the identifiers of the parts
+         */
+        public Set<String> unansweredParts() {
+            return unansweredParts;
+        }
+
+        /**
+         * Returns whether the same incarnation has sent data afterwards, so that it has not crashed.
+         *
+         * @return true if the upstream only broke connections
+         */
+        public boolean isRefuted() {
+            return refuted;
+        }
+
+        private void addUnanswered(PromptPrefix prefix) {
+            unansweredRequests++;
+            for (PromptPrefix.Part part : prefix.sharedParts()) {
+                if (unansweredParts.size() < MAX_PARTS_PER_CRASH) {
+                    unansweredParts.add(part.id());
+                }
+            }
+        }
+
+        private void checkFor(UpstreamTable upstreams) {
+            Optional<Upstream> current = upstreams.find(upstream.id());
+            refuted = refuted
+                    || current.filter(found -> idOf(found.entry()) == id()
+                                    && found.lastReceivedMillis() > atMillis + SETTLING_MILLIS)
+                            .isPresent();
+        }
+    }
+
+    private static int idOf(UpstreamEntry upstream) {
+        return (upstream.id() + '@' + upstream.startedAtMillis()).hashCode();
+    }
+
+    /**
+     * Records that the connection of a request broke.
+     *
+     * @param upstream the upstream
+     * @param prefix the parts of the prompt
+     * @param answered whether the request had received an event
+     * @param nowMillis the current time in milliseconds
+     */
+    public void recordBreak(UpstreamEntry upstream, PromptPrefix prefix, boolean answered, long nowMillis) {
+        Crash crash = byId.get(idOf(upstream));
+        if (crash == null || crash.refuted) {
+            byId.remove(idOf(upstream));
+            crash = new Crash(upstream, nowMillis);
+            byId.put(idOf(upstream), crash);
+            removeOldest();
+        }
+        crash.brokenRequests++;
+        if (!answered) {
+            crash.addUnanswered(prefix);
+        }
+    }
+
+    private void removeOldest() {
+        Iterator<Crash> oldest = byId.values().iterator();
+        while (byId.size() > MAX_CRASHES) {
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    /**
+     * Discards old crashes, and notes which upstreams have sent data since.
+     *
+     * @param upstreams the known upstreams
+     * @param nowMillis the current time in milliseconds
+     */
+    public void update(UpstreamTable upstreams, long nowMillis) {
+        byId.values().removeIf(crash -> nowMillis >= crash.atMillis + RETENTION_MILLIS);
+        byId.values().forEach(crash -> crash.checkFor(upstreams));
+    }
+
+    /**
+     * Returns the crashes that have not been returned before, once no more data that was sent before them is expected.
+     *
+     * @param nowMillis the current time in milliseconds
+     * @return the crashes in the order of their times, including refuted ones
+     */
+    public List<Crash> takeUnreported(long nowMillis) {
+        List<Crash> unreported = new ArrayList<>();
+        for (Crash crash : byId.values()) {
+            if (!crash.reported && nowMillis >= crash.atMillis + 2 * SETTLING_MILLIS) {
+                crash.reported = true;
+                unreported.add(crash);
+            }
+        }
+        return unreported;
+    }
+
+    /**
+     * Returns the crashes of upstreams that have sent no data since.
+     *
+     * @return the crashes in the order of their times
+     */
+    public Collection<Crash> crashes() {
+        return byId.values().stream().filter(crash -> !crash.refuted).toList();
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptPrefix.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptPrefix.java
@@ -52,6 +52,15 @@
         return new PromptPrefix(parts);
     }
 
+    /**
+     * Returns the parts that may be shared with other requests.
+     *
+     * @return all parts but the last
+     */
+    public List<Part> sharedParts() {
+        return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    }
+
     /**
      * Returns the identifier of the last shared part.
      *
@@ -68,8 +77,8 @@
      */
     public long sharedTokens() {
         long tokens = 0;
-        for (int i = 0; i < parts.size() - 1; i++) {
-            tokens += parts.get(i).tokens();
+        for (Part part : sharedParts()) {
+            tokens += part.tokens();
         }
         return tokens;
     }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -25,6 +25,7 @@
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.policy.Admission;
+import org.lovagethread.gateway.policy.CrashLog;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
 import org.lovagethread.gateway.policy.RetryBudget;
@@ -42,6 +43,7 @@
     final StringBuilder streamedEvents = new StringBuilder();
     final UpstreamTable upstreams = new UpstreamTable();
     final UsageLedger usage = new UsageLedger(5_000, this::nowMillis);
+    final CrashLog crashLog = new CrashLog();
     long currentMillis = 1_000;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
     String response = "";
@@ -232,6 +234,11 @@
         return retryBudget;
     }
 
+    @Override
+    public CrashLog crashLog() {
+        return crashLog;
+    }
+
     @Override
     public TokenQuota quota() {
         return quota;
