Quarantine prompt parts that crash engines

Callers saw broken streams and 502 while engines crashed one after the other, and sound requests lost the engines that they were waiting for. Cause: a query of death. Requests with one prompt part crash each engine that begins to answer them; each was retried at a second engine, and its caller came back. Nothing connected the crashes with each other, since no two such requests are alike and sound ones share their customer and their other parts. Change: gateways exchange, with their state, which shared parts were unanswered at which crash (an incarnation of an upstream that broke connections and sent no data afterwards). A first event exonerates a part of earlier crashes. A part is blamed if the crashes, in three episodes over a second while the service goes on answering, are far more likely with it as their cause than by chance; what a blamed part explains counts against no other. One gateway's decision holds at all. Requests with the part are refused before they are sent (prompt-quarantined, 503, quota refunded); those that wait at an engine are cancelled and end as upstream-failed; parts suspected at repeated crashes are not retried. The quarantine ends a minute after the last such request, or with a first event. Why it works: the deadly part alone is never answered, and it is in each crash. A recovered engine is a new incarnation with a new failure detector, so placement does not shun it. Evidence: with isQuarantined and isSuspected returning false, QueryOfDeathTest.DeadlyParts fails in all ten cases ("requests with deadly-0 that reach engines late"), ExchangeTest.QuarantinedPrompts in four of five ("Expecting empty but was: [...FakeAttempt...]"). QueryOfDeathTest plays six gateways in virtual time, with engines that crash by a part, in groups, in series, all at once and under overload, and connections that break alone; no sound part may be blamed. A trial with a fixed number of crashes instead of the comparison with chance blamed sound parts there.

--- a/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
@@ -36,6 +36,9 @@
     STOPPING(503, RunState.NOT_RUN, true, "The node is stopping."),
     /** No upstream is available for the call. */
     NO_UPSTREAM(503, RunState.NOT_RUN, true, "No upstream can take the call."),
+    /** A part of the prompt has crashed several upstreams, and no prompt with it is sent to another one for some time. */
+    PROMPT_QUARANTINED(
+            503, RunState.NOT_RUN, true, "A part of the prompt crashed upstreams; it is not sent to more of them."),
     /** The claim required for the call could not be written to the Object API. */
     STORE_UNAVAILABLE(503, RunState.NOT_RUN, true, "The claim of the idempotency key cannot be recorded."),
     /** The deadline passed before any part of the call was sent to an upstream. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -147,6 +147,11 @@
         state.getResignedTermsList().forEach(gateway.lease()::recordPeerResignation);
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), cell, gateway.upstreams(), nowMillis);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), cell, gateway.engineModels(), nowMillis);
+        gateway.promptQuarantine()
+                .updatePeer(
+                        cell,
+                        PromptEvidenceCodec.decode(state.getUnknownFields(), PromptEvidenceCodec.CELL_FIELD, nowMillis),
+                        nowMillis);
         state.getCustomersList().forEach(use -> gateway.quota()
                 .update(CELL_PREFIX + state.getSpeaker(), use.getCustomer(), use.getTokens(), nowMillis));
     }
@@ -233,7 +238,11 @@
         if (includesUsageCounts()) {
             addUsageCounts(state);
         }
-        return state.build();
+        return state.setUnknownFields(PromptEvidenceCodec.encode(
+                        gateway.promptQuarantine().combinedEvidence(peer -> !peer.startsWith(CELL_PREFIX), nowMillis),
+                        PromptEvidenceCodec.CELL_FIELD,
+                        nowMillis))
+                .build();
     }
 
     private boolean includesUsageCounts() {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CrashReporter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CrashReporter.java
@@ -1,12 +1,14 @@
 package org.lovagethread.gateway.http;
 
+import java.util.List;
 import java.util.stream.Collectors;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.log.GatewayMetrics;
 import org.lovagethread.gateway.log.LogRateLimiter;
 import org.lovagethread.gateway.policy.CrashLog;
+import org.lovagethread.gateway.policy.PromptQuarantine;
 
-/** Writes the crashes of upstreams to the log and to the metrics. */
+/** Writes the crashes of upstreams, and the prompt parts that they are blamed on, to the log and to the metrics. */
 final class CrashReporter {
     private static final int MAX_LINES_PER_SECOND = 40;
 
@@ -22,6 +24,23 @@
         this.metrics = metrics;
     }
 
+    /** Reports the changes of the states of prompt parts. */
+    void report(List<PromptQuarantine.Change> changes, long nowMillis) {
+        for (PromptQuarantine.Change change : changes) {
+            if (change.kind() == PromptQuarantine.ChangeKind.SUSPECTED && !lines.tryAcquire(nowMillis)) {
+                continue;
+            }
+            log.add(log.line(change.kind().label())
+                    .put("part", change.part())
+                    .put(
+                            "crashes",
+                            change.crashIds().stream()
+                                    .map(Integer::toHexString)
+                                    .sorted()
+                                    .collect(Collectors.joining(" "))));
+        }
+    }
+
     /** Reports the crashes that have not been reported before. */
     void report(CrashLog crashLog, long nowMillis) {
         for (CrashLog.Crash crash : crashLog.takeUnreported(nowMillis)) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -19,6 +19,7 @@
 import org.lovagethread.gateway.policy.AttemptOutcome;
 import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /**
@@ -150,6 +151,12 @@
             onDeadline(nowMillis);
             return;
         }
+        if (attempt != null
+                && !attempt.firstEventReceived
+                && context.promptQuarantine().isQuarantined(attributes.prefix())) {
+            onAttemptFailed(AttemptOutcome.BROKEN, "cancelled, a part of the prompt is quarantined", nowMillis);
+            return;
+        }
         if (attempt != null && !readingPaused && route.isRetryable() && isInactive(nowMillis)) {
             attempt.upstream.failureDetector().recordUnreachable(nowMillis, InactivityTimeout.AVOIDANCE_MILLIS);
             onAttemptFailed(
@@ -168,6 +175,10 @@
     }
 
     private void dispatch(long nowMillis) {
+        if (context.promptQuarantine().isQuarantined(attributes.prefix())) {
+            refuseQuarantined(nowMillis);
+            return;
+        }
         long remainingMillis = deadlineMillis - nowMillis;
         if (remainingMillis < MIN_ATTEMPT_MILLIS) {
             giveUp(AttemptOutcome.NOT_SENT, "too little time left before the deadline", nowMillis);
@@ -196,6 +207,15 @@
         send(choice.get(), remainingMillis, nowMillis);
     }
 
+    private void refuseQuarantined(long nowMillis) {
+        context.promptQuarantine().recordRefusal(attributes.prefix(), nowMillis);
+        if (possibleRuns > 0) {
+            giveUp(AttemptOutcome.BROKEN, "a part of the prompt is quarantined", nowMillis);
+        } else {
+            refuse(ErrorKind.PROMPT_QUARANTINED, PromptQuarantine.QUARANTINE_MILLIS, nowMillis);
+        }
+    }
+
     private long retryAfterMillis(Admission.Candidate candidate, Placement.Choice choice, long nowMillis) {
         double engineMillis = context.engineModels()
                 .of(service.name())
@@ -308,7 +328,7 @@
             attempt.responseEnded = true;
             long now = context.nowMillis();
             attempt.upstream.failureDetector().recordOutcome(false, now);
-            context.crashLog()
+            context.promptQuarantine()
                     .recordBreak(attempt.upstream.entry(), attributes.prefix(), attempt.firstEventReceived, now);
             onAttemptFailed(AttemptOutcome.BROKEN, reason, now);
         }
@@ -356,6 +376,7 @@
     private void onFirstEvent(long nowMillis) {
         attempt.firstEventReceived = true;
         attempt.firstEventMillis = nowMillis;
+        context.promptQuarantine().recordFirstEvent(service.name(), attributes.prefix(), nowMillis);
         attempt.upstream.load().recordFirstEvent(attempt.choice.unreadTokens());
         recordEngineSample(nowMillis - attempt.sentMillis);
         recordUsage();
@@ -401,6 +422,7 @@
         endAttempt();
         boolean retry = attempts < MAX_ATTEMPTS
                 && outcome.allowsRetry(route, possibleRuns)
+                && (!outcome.mayHaveRun() || !context.promptQuarantine().isSuspected(attributes.prefix()))
                 && deadlineMillis - nowMillis >= MIN_ATTEMPT_MILLIS
                 && context.hasUntriedUpstream(service.name(), triedUpstreams)
                 && (!outcome.mayHaveArrived()
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -5,8 +5,8 @@
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.policy.Admission;
-import org.lovagethread.gateway.policy.CrashLog;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -34,8 +34,8 @@
     /** Returns the retry budget. */
     RetryBudget retryBudget();
 
-    /** Returns the log of the crashes of upstreams. */
-    CrashLog crashLog();
+    /** Returns the policy that keeps prompt parts that crash upstreams away from them. */
+    PromptQuarantine promptQuarantine();
 
     /** Returns the token quotas of customers. */
     TokenQuota quota();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -33,9 +33,9 @@
 import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.policy.AddressPolicy;
 import org.lovagethread.gateway.policy.Admission;
-import org.lovagethread.gateway.policy.CrashLog;
 import org.lovagethread.gateway.policy.LagDetector;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
@@ -62,7 +62,7 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final EngineModels engineModels = new EngineModels();
     private final Admission admission = new Admission();
-    private final CrashLog crashLog = new CrashLog();
+    private final PromptQuarantine promptQuarantine = new PromptQuarantine();
     private final TokenQuota quota;
     private final ClusterClock clock = new ClusterClock();
     private final LogRateLimiter successLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
@@ -200,8 +200,8 @@
             lease.tick(sync.isComplete() && !callerServer.isDraining() && peerExchange.isPreferredLeader(nowMillis));
             logLeaseChange();
             usageReporter.tick();
-            crashLog.update(upstreams, nowMillis);
-            crashReporter.report(crashLog, nowMillis);
+            crashReporter.report(promptQuarantine.evaluate(upstreams, nowMillis), nowMillis);
+            crashReporter.report(promptQuarantine.crashLog(), nowMillis);
             configuration().ifPresent(current -> fleetManager.tick(current, quota.tokensPerSecond(nowMillis)));
         }
         if (ticks % 25 == 0) {
@@ -254,6 +254,8 @@
         metrics.setState("holds_lease", lease.isHeld() ? 1 : 0);
         metrics.setState("log_lines_dropped", log.droppedLines());
         metrics.setState("ready", isReady() ? 1 : 0);
+        metrics.setState(
+                "quarantined_prompt_parts", promptQuarantine.quarantinedParts().size());
         metrics.setState("requests_in_progress", callerServer.activeRequests());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
@@ -433,8 +435,8 @@
     }
 
     @Override
-    public CrashLog crashLog() {
-        return crashLog;
+    public PromptQuarantine promptQuarantine() {
+        return promptQuarantine;
     }
 
     @Override
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrashLog.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrashLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -24,7 +26,7 @@
     public static final long RETENTION_MILLIS = 60_000;
 
     /** Time in which data that was sent before a crash may still be read, in milliseconds. */
-    private static final long SETTLING_MILLIS = 250;
+    static final long SETTLING_MILLIS = 250;
 
     private static final int MAX_CRASHES = 64;
     private static final int MAX_PARTS_PER_CRASH = 128;
@@ -36,6 +38,7 @@
         private final UpstreamEntry upstream;
         private final long atMillis;
         private final Set<String> unansweredParts = new LinkedHashSet<>();
+        private final Set<String> exoneratedParts = new HashSet<>();
         private int brokenRequests;
         private int unansweredRequests;
         private boolean reported;
@@ -56,9 +59,9 @@
         }
 
         /**
-         * Returns the identifier of the crash, which is the same at all gateways.
+         * Returns the identifier of the crash.
          *
-         * @return a hash of the incarnation
+         * @return the result of {@link #idOf} for the upstream
          */
         public int id() {
             return idOf(upstream);
@@ -100,6 +103,17 @@
             return unansweredParts;
         }
 
+        /**
+         * Returns the shared prompt parts to which no response has begun since.
+         *
+         * @return the identifiers of the parts
+         */
+        public Set<String> suspectedParts() {
+            Set<String> suspected = new HashSet<>(unansweredParts);
+            suspected.removeAll(exoneratedParts);
+            return suspected;
+        }
+
         /**
          * Returns whether the same incarnation has sent data afterwards, so that it has not crashed.
          *
@@ -127,7 +141,13 @@
         }
     }
 
-    private static int idOf(UpstreamEntry upstream) {
+    /**
+     * Returns the identifier of the crash of an incarnation, which is the same at all gateways.
+     *
+     * @param upstream the registration of the upstream
+     * @return a hash of its id and start time
+     */
+    public static int idOf(UpstreamEntry upstream) {
         return (upstream.id() + '@' + upstream.startedAtMillis()).hashCode();
     }
 
@@ -172,6 +192,19 @@
         byId.values().forEach(crash -> crash.checkFor(upstreams));
     }
 
+    /**
+     * Discards the suspicion of parts to which a response has begun since a crash.
+     *
+     * @param latestFirstEvent returns the time of the latest first event with a part, in milliseconds
+     */
+    public void exonerate(ToLongFunction<String> latestFirstEvent) {
+        for (Crash crash : byId.values()) {
+            crash.unansweredParts.stream()
+                    .filter(part -> latestFirstEvent.applyAsLong(part) >= crash.atMillis)
+                    .forEach(crash.exoneratedParts::add);
+        }
+    }
+
     /**
      * Returns the crashes that have not been returned before, once no more data that was sent before them is expected.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -2,9 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lovagethread.gateway.config.RouteKind;
+import org.lovagethread.gateway.policy.PromptEvidence;
+import org.lovagethread.gateway.policy.PromptPrefix;
 import org.lovagethread.gateway.policy.RetryBudget;
 
 class ExchangeTest {
@@ -101,6 +105,83 @@
         }
     }
 
+    @Nested
+    class QuarantinedPrompts {
+        private static final int UPSTREAMS = 3;
+
+        QuarantinedPrompts() {
+            context.prefix = PromptPrefix.parse("shared:10,own:1");
+        }
+
+        private void quarantine() {
+            context.promptQuarantine.updatePeer(
+                    "peer",
+                    new PromptEvidence(
+                            Map.of(),
+                            Map.of(),
+                            Map.of(),
+                            Map.of("shared", new PromptEvidence.Quarantine(900, 20_000)),
+                            Set.of()),
+                    context.currentMillis);
+            context.promptQuarantine.evaluate(context.upstreams, context.currentMillis);
+        }
+
+        @Test
+        void areRefusedAsNotExecuted() {
+            quarantine();
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            assertThat(context.attempts).isEmpty();
+            assertThat(context.response).isEqualTo("503 prompt-quarantined");
+        }
+
+        @Test
+        void areCancelledBeforeTheirFirstEventAndNotRetried() {
+            Exchange exchange = context.start(RouteKind.EVENT_STREAM, true, 2);
+            quarantine();
+            exchange.tick(context.currentMillis);
+            assertThat(context.attempts).singleElement().matches(attempt -> attempt.cancelled);
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+        }
+
+        @Test
+        void areNotCancelledAfterTheirFirstEvent() {
+            Exchange exchange = context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\n");
+            quarantine();
+            exchange.tick(context.currentMillis);
+            assertThat(context.lastAttempt().cancelled).isFalse();
+        }
+
+        @Test
+        void areReleasedWhenAResponseBegins() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            quarantine();
+            assertThat(context.promptQuarantine.isQuarantined(context.prefix)).isTrue();
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\n");
+            context.promptQuarantine.evaluate(context.upstreams, context.currentMillis);
+            assertThat(context.promptQuarantine.isQuarantined(context.prefix)).isFalse();
+        }
+
+        @Test
+        void areNotRetriedOnceTheirPartsWereUnansweredAtRepeatedCrashes() {
+            for (int i = 0; i < UPSTREAMS; i++) {
+                context.promptQuarantine.recordBreak(
+                        context.upstreams.find("i-" + i).orElseThrow().entry(),
+                        context.prefix,
+                        false,
+                        context.currentMillis);
+                context.currentMillis += 400;
+            }
+            context.promptQuarantine.evaluate(context.upstreams, context.currentMillis);
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().listener.onFailure("reset");
+            assertThat(context.attempts).hasSize(1);
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+        }
+    }
+
     @Nested
     class EventStreams {
         @Test
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -25,9 +25,9 @@
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.policy.Admission;
-import org.lovagethread.gateway.policy.CrashLog;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
+import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
@@ -43,9 +43,10 @@
     final StringBuilder streamedEvents = new StringBuilder();
     final UpstreamTable upstreams = new UpstreamTable();
     final UsageLedger usage = new UsageLedger(5_000, this::nowMillis);
-    final CrashLog crashLog = new CrashLog();
+    final PromptQuarantine promptQuarantine = new PromptQuarantine();
     long currentMillis = 1_000;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
+    PromptPrefix prefix = PromptPrefix.NONE;
     String response = "";
     ExchangeRecord record;
     private final EngineModels engineModels = new EngineModels();
@@ -139,13 +140,7 @@
     @Override
     public RequestAttributes readAttributes(HttpRequest request) {
         return new RequestAttributes(
-                "id",
-                Optional.empty(),
-                OptionalLong.of(2_500),
-                OptionalInt.empty(),
-                0,
-                PromptPrefix.NONE,
-                OptionalLong.empty());
+                "id", Optional.empty(), OptionalLong.of(2_500), OptionalInt.empty(), 0, prefix, OptionalLong.empty());
     }
 
     @Override
@@ -235,8 +230,8 @@
     }
 
     @Override
-    public CrashLog crashLog() {
-        return crashLog;
+    public PromptQuarantine promptQuarantine() {
+        return promptQuarantine;
     }
 
     @Override
