--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -6,6 +6,7 @@
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -33,6 +34,9 @@
     /** Returns the retry budget. */
     RetryBudget retryBudget();
 
+    /** Returns the policy that keeps prompt parts that crash upstreams away from them. */
+    PromptQuarantine promptQuarantine();
+
     /** Returns the token quotas of customers. */
     TokenQuota quota();
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -36,6 +36,7 @@
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.LagDetector;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
@@ -62,11 +63,13 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final EngineModels engineModels = new EngineModels();
     private final Admission admission = new Admission();
+    private final PromptQuarantine promptQuarantine = new PromptQuarantine();
     private final TokenQuota quota;
     private final ClusterClock clock = new ClusterClock();
     private final LogRateLimiter successLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
     private final LogRateLimiter refusedLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
     private final LogRateLimiter failureLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
+    private final CrashReporter crashReporter;
     private final LagDetector lagDetector = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AddressPolicy addressPolicy;
@@ -96,6 +99,7 @@
     public Gateway(GatewaySettings settings, Function<PooledHttpClient, PlatformPorts> portsFactory, EventLog log) {
         this.settings = settings;
         this.log = log;
+        this.crashReporter = new CrashReporter(log, metrics);
         PooledHttpClient httpClient = new PooledHttpClient(loop);
         this.ports = portsFactory.apply(httpClient);
         GatewaySettings.Bounds bounds = settings.bounds();
@@ -215,6 +219,8 @@
             lease.tick(sync.isComplete() && !callerServer.isDraining() && peerExchange.isPreferredLeader(nowMillis));
             logLeaseChange();
             usageReporter.tick();
+            crashReporter.report(promptQuarantine.evaluate(upstreams, nowMillis), nowMillis);
+            crashReporter.report(promptQuarantine.crashLog(), nowMillis);
             configuration().ifPresent(current -> fleetManager.tick(current, quota.tokensPerSecond(nowMillis)));
         }
         if (ticks % 25 == 0) {
@@ -268,6 +274,8 @@
         metrics.setState("holds_lease", lease.isHeld() ? 1 : 0);
         metrics.setState("log_lines_dropped", log.droppedLines());
         metrics.setState("ready", isReady() ? 1 : 0);
+        metrics.setState(
+                "quarantined_prompt_parts", promptQuarantine.quarantinedParts().size());
         metrics.setState("requests_in_progress", callerServer.activeRequests());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
@@ -470,6 +478,11 @@
         return retryBudget;
     }
 
+    @Override
+    public PromptQuarantine promptQuarantine() {
+        return promptQuarantine;
+    }
+
     @Override
     public TokenQuota quota() {
         return quota;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -29,6 +29,7 @@
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
+import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
@@ -44,9 +45,11 @@
     final StringBuilder streamedEvents = new StringBuilder();
     final UpstreamTable upstreams = new UpstreamTable();
     final UsageLedger usage = new UsageLedger(5_000, this::nowMillis);
+    final PromptQuarantine promptQuarantine = new PromptQuarantine();
     long currentMillis = 1_000;
     long unobservedMillis;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
+    PromptPrefix prefix = PromptPrefix.NONE;
     String response = "";
     Optional<RuntimeException> responseFailure = Optional.empty();
     Optional<RuntimeException> sendFailure = Optional.empty();
@@ -152,7 +155,7 @@
                 OptionalLong.of(2_500),
                 OptionalInt.empty(),
                 0,
-                PromptPrefix.NONE,
+                prefix,
                 OptionalLong.empty());
     }
 
@@ -259,6 +262,11 @@
         return retryBudget;
     }
 
+    @Override
+    public PromptQuarantine promptQuarantine() {
+        return promptQuarantine;
+    }
+
     @Override
     public TokenQuota quota() {
         return quota;
