Keep failures of a pipelined request from the response before it

A caller could get two responses to one request if a pipelined request that followed it caused an exception: the exception surfaced in the response that had just been written, whose exchange now answers exceptions with an error.

Cause: CallerChannelHandler processes the next queued request inside the call that writes the response to the one before.

Evidence, on the code before the change: CallerChannelHandlerTest$PipelinedRequests.doNotFailTheResponseBeforeThem NullPointerException out of sendResponse, after the response was written

An exception of a queued request now closes the connection, as one of a request that is read from the socket does already.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -349,8 +349,13 @@
         lastActiveMillis = server.nowMillis();
         closing = closing || close;
         responding = close;
-        while (!responding && !queued.isEmpty()) {
-            process(queued.poll());
+        try {
+            while (!responding && !queued.isEmpty()) {
+                process(queued.poll());
+            }
+        } catch (RuntimeException e) {
+            server.recordConnectionFailure(e);
+            abort();
         }
     }
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -127,6 +127,26 @@
         assertThat(written()).isEmpty();
     }
 
+    @Nested
+    class PipelinedRequests {
+        private final CallerChannelHandler failing = new CallerChannelHandler(gateway.callerServer(), null);
+        private final EmbeddedChannel connection =
+                new EmbeddedChannel(new StrictRequestDecoder(65_536), new HttpResponseEncoder(), failing);
+
+        @Test
+        void doNotFailTheResponseBeforeThem() {
+            while (!gateway.isLagging()) {
+                Thread.onSpinWait();
+            }
+            connection.freezeTime();
+            connection.writeInbound(Unpooled.copiedBuffer(
+                    "GET /x HTTP/1.1\r\nHost: h\r\n\r\nPOST /y HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+                    StandardCharsets.US_ASCII));
+            failing.sendResponse(HttpResponseStatus.OK, NO_HEADERS, text());
+            assertThat(connection.isActive()).isFalse();
+        }
+    }
+
     @Nested
     class CloseDelimitedStreams {
         private final NioEventLoopGroup group = new NioEventLoopGroup(1);
