--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -396,7 +396,7 @@
                 process(queued.poll());
             }
         } catch (RuntimeException e) {
-            server.recordConnectionFailure(e);
+            server.recordConnectionFailure(e, request);
             abort();
         }
     }
--- a/lovagethread-wire/generate.sh
+++ b/lovagethread-wire/generate.sh
@@ -4,7 +4,11 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 version=4.34.1
-mvn -B -q dependency:copy -Dartifact=com.google.protobuf:protoc:$version:exe:linux-x86_64 -DoutputDirectory=target
-protoc="target/protoc-$version-linux-x86_64.exe"
+case "$(uname -m)" in
+    aarch64 | arm64) platform=linux-aarch_64 ;;
+    *) platform=linux-x86_64 ;;
+esac
+mvn -B -q dependency:copy -Dartifact=com.google.protobuf:protoc:$version:exe:$platform -DoutputDirectory=target
+protoc="target/protoc-$version-$platform.exe"
 chmod +x "$protoc"
 "$protoc" --java_out=src/main/java --proto_path=src/main/proto src/main/proto/peer.proto src/main/proto/gateway.proto
