Send the evidence against prompt parts in typed messages

The codec's test keeps its cases; the one that the field numbers were free is gone with them, as the compiler checks it.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -149,10 +149,7 @@
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), cell, gateway.upstreams(), nowMillis);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), cell, gateway.engineModels(), nowMillis);
         gateway.promptQuarantine()
-                .updatePeer(
-                        cell,
-                        PromptEvidenceCodec.decode(state.getUnknownFields(), PromptEvidenceCodec.CELL_FIELD, nowMillis),
-                        nowMillis);
+                .updatePeer(cell, PromptEvidenceCodec.decode(state.getCrashEvidence(), nowMillis), nowMillis);
         state.getCustomersList().forEach(use -> gateway.quota()
                 .update(CELL_PREFIX + state.getSpeaker(), use.getCustomer(), use.getTokens(), nowMillis));
     }
@@ -239,9 +236,8 @@
         if (includesUsageCounts()) {
             addUsageCounts(state);
         }
-        return state.setUnknownFields(PromptEvidenceCodec.encode(
+        return state.setCrashEvidence(PromptEvidenceCodec.encode(
                         gateway.promptQuarantine().combinedEvidence(peer -> !peer.startsWith(CELL_PREFIX), nowMillis),
-                        PromptEvidenceCodec.CELL_FIELD,
                         nowMillis))
                 .build();
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -225,10 +225,8 @@
             nextCountsMillis = nowMillis + COUNTS_INTERVAL_MILLIS;
             addUsageCounts(state, nowMillis);
         }
-        return state.setUnknownFields(PromptEvidenceCodec.encode(
-                        gateway.promptQuarantine().localEvidence(nowMillis),
-                        PromptEvidenceCodec.GATEWAY_FIELD,
-                        nowMillis))
+        return state.setCrashEvidence(
+                        PromptEvidenceCodec.encode(gateway.promptQuarantine().localEvidence(nowMillis), nowMillis))
                 .build();
     }
 
@@ -279,11 +277,7 @@
                                 .put("source", process)));
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), state.getNode(), gateway.upstreams(), now);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), process, gateway.engineModels(), now);
-        gateway.promptQuarantine()
-                .updatePeer(
-                        process,
-                        PromptEvidenceCodec.decode(state.getUnknownFields(), PromptEvidenceCodec.GATEWAY_FIELD, now),
-                        now);
+        gateway.promptQuarantine().updatePeer(process, PromptEvidenceCodec.decode(state.getCrashEvidence(), now), now);
         state.getCustomersList()
                 .forEach(use -> gateway.quota().update(process, use.getCustomer(), use.getTokens(), now));
         state.getWindowsList().forEach(count -> gateway.usage()
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceCodecTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceCodecTest.java
@@ -9,7 +9,6 @@
 import org.lovagethread.gateway.policy.PromptEvidence;
 import org.lovagethread.gateway.policy.PromptEvidence.CrashTime;
 import org.lovagethread.gateway.policy.PromptEvidence.Quarantine;
-import org.lovagethread.wire.generated.CellState;
 import org.lovagethread.wire.generated.GatewayState;
 
 class PromptEvidenceCodecTest {
@@ -29,26 +28,16 @@
     void transfersEvidenceBetweenClocks() throws InvalidProtocolBufferException {
         GatewayState sent = GatewayState.newBuilder()
                 .setNode("g")
-                .setUnknownFields(PromptEvidenceCodec.encode(evidence(0), PromptEvidenceCodec.GATEWAY_FIELD, 2_000))
+                .setCrashEvidence(PromptEvidenceCodec.encode(evidence(0), 2_000))
                 .build();
         GatewayState received = GatewayState.parseFrom(sent.toByteArray());
-        assertThat(PromptEvidenceCodec.decode(
-                        received.getUnknownFields(), PromptEvidenceCodec.GATEWAY_FIELD, CLOCK_OFFSET_MILLIS + 2_000))
+        assertThat(PromptEvidenceCodec.decode(received.getCrashEvidence(), CLOCK_OFFSET_MILLIS + 2_000))
                 .isEqualTo(evidence(CLOCK_OFFSET_MILLIS));
     }
 
     @Test
     void readsNoEvidenceFromAMessageOfAnotherVersion() {
-        assertThat(PromptEvidenceCodec.decode(
-                        GatewayState.getDefaultInstance().getUnknownFields(), PromptEvidenceCodec.GATEWAY_FIELD, 0))
+        assertThat(PromptEvidenceCodec.decode(GatewayState.getDefaultInstance().getCrashEvidence(), 0))
                 .isEqualTo(PromptEvidence.NONE);
     }
-
-    @Test
-    void usesNumbersThatTheMessagesDoNotUse() {
-        assertThat(GatewayState.getDescriptor().findFieldByNumber(PromptEvidenceCodec.GATEWAY_FIELD))
-                .isNull();
-        assertThat(CellState.getDescriptor().findFieldByNumber(PromptEvidenceCodec.CELL_FIELD))
-                .isNull();
-    }
 }
