Decode each object of the store on its own

Callers saw: after another writer left one odd entry among those of the servers, gateways no longer followed the list, and servers added later got no requests. Cause: a list or a set of changes was decoded as one JSON document. A depth beyond 1,000, a number of more than 1,000 digits, a very long field name, malformed UTF-8 or malformed JSON in one entry made the whole response unreadable. The watch then asked for the same changes again and again. An object beyond that is delivered with its name and its defect, and names no upstream; the log says which and why. It is not sent to peers, and one unreadable record of a peer's listing does not hide the others. An unreadable configuration keeps the active one, as before.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -32,6 +32,9 @@
     /** Time after the last call beyond which its outcome says nothing about the store, in milliseconds. */
     private static final long CALL_OUTCOME_TTL_MILLIS = 4_000;
 
+    /** Source of configurations that were not received from a peer. */
+    private static final String STORE = "store";
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Scheduler scheduler;
@@ -175,7 +178,7 @@
     public void offerConfiguration(JsonNode content, String source) {
         Either<String, GatewayConfiguration> decoded = decoder.decodeConfiguration(content);
         if (decoded.isLeft()) {
-            log.add(log.line("configuration-unreadable").put("source", source).put("reason", decoded.getLeft()));
+            logUnreadableConfiguration(source, decoded.getLeft());
             return;
         }
         GatewayConfiguration offered = decoded.get();
@@ -205,10 +208,22 @@
         try {
             offerConfiguration(JSON.readTree(Gzip.decompress(bytes).newInput()), peer);
         } catch (IOException e) {
-            log.add(log.line("configuration-unreadable").put("source", peer).put("reason", e.getMessage()));
+            logUnreadableConfiguration(peer, e.getMessage());
         }
     }
 
+    private void offerConfiguration(StoredObject object) {
+        if (object.defect().isPresent()) {
+            logUnreadableConfiguration(STORE, object.defect().get());
+        } else {
+            offerConfiguration(object.content(), STORE);
+        }
+    }
+
+    private void logUnreadableConfiguration(String source, String reason) {
+        log.add(log.line("configuration-unreadable").put("source", source).put("reason", reason));
+    }
+
     /**
      * Returns all upstreams in the form in which peers fetch them.
      *
@@ -237,8 +252,7 @@
             }
             List<StoredObject> objects = new ArrayList<>();
             for (UpstreamRecord upstream : listing.getUpstreamsList()) {
-                JsonNode content = JSON.readTree(upstream.getContent().newInput());
-                objects.add(new StoredObject(upstream.getId(), listing.getRevision(), content));
+                objects.add(decodeRecord(upstream, listing.getRevision()));
             }
             log.add(log.line("upstreams-from-peer").put("source", peer).put("revision", listing.getRevision()));
             replaceUpstreams(objects, listing.getRevision());
@@ -273,13 +287,22 @@
         }
     }
 
+    private static StoredObject decodeRecord(UpstreamRecord upstream, long revision) {
+        try {
+            JsonNode content = JSON.readTree(upstream.getContent().newInput());
+            return new StoredObject(upstream.getId(), revision, content);
+        } catch (IOException e) {
+            return StoredObject.unreadable(upstream.getId(), revision, e.toString());
+        }
+    }
+
     private void replaceUpstreams(List<StoredObject> objects, long revision) {
         upstreamObjects.clear();
         List<UpstreamEntry> entries = new ArrayList<>();
         for (StoredObject object : objects) {
-            upstreamObjects.put(object.name(), object);
-            Either<String, UpstreamEntry> decoded = decoder.decodeUpstream(object);
+            Either<String, UpstreamEntry> decoded = decode(object);
             if (decoded.isRight()) {
+                upstreamObjects.put(object.name(), object);
                 entries.add(decoded.get());
             } else {
                 logUnreadable(object, decoded.getLeft());
@@ -290,6 +313,10 @@
         upstreamTable.replaceAll(entries, storeHealth.recoveredMillis(), scheduler.nowMillis());
     }
 
+    private Either<String, UpstreamEntry> decode(StoredObject object) {
+        return object.defect().isPresent() ? Either.left(object.defect().get()) : decoder.decodeUpstream(object);
+    }
+
     private void logUnreadable(StoredObject object, String reason) {
         log.add(log.line("upstream-unreadable").put("upstream", object.name()).put("reason", reason));
     }
@@ -307,12 +334,15 @@
                     .put("gone", removed));
             return;
         }
-        upstreamObjects.put(object.name(), object);
-        Either<String, UpstreamEntry> decoded = decoder.decodeUpstream(object);
+        Either<String, UpstreamEntry> decoded = decode(object);
         if (decoded.isLeft()) {
+            upstreamObjects.remove(object.name());
             logUnreadable(object, decoded.getLeft());
             upstreamTable.remove(object.name(), storeHealth.recoveredMillis(), now);
-        } else if (upstreamTable.put(decoded.get(), now)) {
+            return;
+        }
+        upstreamObjects.put(object.name(), object);
+        if (upstreamTable.put(decoded.get(), now)) {
             log.add(log.line("upstream-changed")
                     .put("upstream", object.name())
                     .put("service", decoded.get().service())
@@ -352,13 +382,13 @@
     private final class ConfigurationObserver implements KindWatcher.Observer {
         @Override
         public void onListing(List<StoredObject> objects, long revision) {
-            objects.forEach(object -> offerConfiguration(object.content(), "store"));
+            objects.forEach(StateSync.this::offerConfiguration);
         }
 
         @Override
         public void onChange(ObjectStore.Change change, long revision) {
             if (!change.isRemoved()) {
-                offerConfiguration(change.object().content(), "store");
+                offerConfiguration(change.object());
             }
         }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoredObject.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoredObject.java
@@ -1,12 +1,39 @@
 package org.lovagethread.gateway.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.Optional;
 
 /**
  * An object in the store.
  *
- * @param name the name, unique within the kind of the object
+ * @param name the name, unique within the kind of the object; empty if it cannot be read
  * @param revision the revision of the last change of the object
- * @param content the content; for kinds that gateways write, exactly what was written
+ * @param content the content; for kinds that gateways write, exactly what was written; missing if it cannot be read
+ * @param defect why the object cannot be read; empty if it can
  */
-public record StoredObject(String name, long revision, JsonNode content) {}
+public record StoredObject(String name, long revision, JsonNode content, Optional<String> defect) {
+
+    /**
+     * Creates a readable object.
+     *
+     * @param name the name
+     * @param revision the revision of the last change of the object
+     * @param content the content
+     */
+    public StoredObject(String name, long revision, JsonNode content) {
+        this(name, revision, content, Optional.empty());
+    }
+
+    /**
+     * Creates an object that cannot be read.
+     *
+     * @param name the name; an empty string if it cannot be read either
+     * @param revision the revision of the last change of the object
+     * @param reason why the object cannot be read
+     * @return the object
+     */
+    public static StoredObject unreadable(String name, long revision, String reason) {
+        return new StoredObject(name, revision, MissingNode.getInstance(), Optional.of(reason));
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
@@ -0,0 +1,202 @@
+package org.lovagethread.gateway.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.IntNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.TextNode;
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lovagethread.gateway.config.ClientLimits;
+import org.lovagethread.gateway.config.ConfigurationDecoder;
+import org.lovagethread.gateway.config.GatewayConfiguration;
+import org.lovagethread.gateway.config.RouteTable;
+import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.store.ObjectStore.Change;
+import org.lovagethread.gateway.store.ObjectStore.Changes;
+import org.lovagethread.gateway.store.ObjectStore.Page;
+import org.lovagethread.gateway.store.StoreReply.Status;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.gateway.upstream.UpstreamTable;
+import org.lovagethread.wire.generated.UpstreamListing;
+import org.lovagethread.wire.generated.UpstreamRecord;
+
+class StateSyncTest implements Scheduler, ConfigurationDecoder {
+    private static final String SERVICE = "pool";
+
+    private final ScriptedStore store = new ScriptedStore();
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final ByteArrayOutputStream logText = new ByteArrayOutputStream();
+    private final EventLog log = new EventLog("node", logText);
+    private final StateSync sync = new StateSync(store, this, upstreams, this, log);
+    private long now = 10_000;
+
+    /** Captures the last call of each kind, to which a test then replies. */
+    private static final class ScriptedStore implements ObjectStore {
+        private final Map<ObjectKind, Consumer<StoreReply<Page>>> listReplies = new HashMap<>();
+        private final Map<ObjectKind, Consumer<StoreReply<Changes>>> watchReplies = new HashMap<>();
+
+        @Override
+        public void list(ObjectKind kind, String afterName, Consumer<StoreReply<Page>> reply) {
+            listReplies.put(kind, reply);
+        }
+
+        @Override
+        public void watch(ObjectKind kind, long revision, long waitMillis, Consumer<StoreReply<Changes>> reply) {
+            watchReplies.put(kind, reply);
+        }
+
+        @Override
+        public void read(ObjectKind kind, String name, Consumer<StoreReply<StoredObject>> reply) {}
+
+        @Override
+        public void create(ObjectKind kind, String name, JsonNode content, Consumer<StoreReply<StoredObject>> reply) {}
+
+        @Override
+        public void replace(
+                ObjectKind kind, StoredObject expected, JsonNode content, Consumer<StoreReply<StoredObject>> reply) {}
+
+        @Override
+        public void remove(ObjectKind kind, String name, Consumer<StoreReply<StoredObject>> reply) {}
+    }
+
+    @Override
+    public long nowMillis() {
+        return now;
+    }
+
+    @Override
+    public void schedule(long delayMillis, Runnable action) {}
+
+    /** Decodes a number as the version of a configuration. */
+    @Override
+    public Either<String, GatewayConfiguration> decodeConfiguration(JsonNode content) {
+        return content.isInt()
+                ? Either.right(new GatewayConfiguration(
+                        content.asInt(),
+                        new RouteTable(List.of()),
+                        Map.of(),
+                        Map.of(),
+                        List.of(),
+                        ClientLimits.DEFAULT))
+                : Either.left("no version");
+    }
+
+    /** Decodes a text as the host of an upstream. */
+    @Override
+    public Either<String, UpstreamEntry> decodeUpstream(StoredObject object) {
+        return object.content().isTextual()
+                ? Either.right(new UpstreamEntry(
+                        object.name(), SERVICE, object.content().asText(), 80, "a", 1, false, false, 0))
+                : Either.left("no host");
+    }
+
+    private static StoredObject sound(String name) {
+        return new StoredObject(name, 4, TextNode.valueOf("10.0.0.1"));
+    }
+
+    private static StoredObject odd(String name) {
+        return StoredObject.unreadable(name, 4, "too deep");
+    }
+
+    private void list(ObjectKind kind, StoredObject... objects) {
+        store.listReplies.get(kind).accept(StoreReply.of(Status.OK, new Page(List.of(objects), false, 4)));
+    }
+
+    private void change(ObjectKind kind, long revision, StoredObject object) {
+        Changes changes = new Changes(List.of(new Change(object, false)), revision);
+        store.watchReplies.get(kind).accept(StoreReply.of(Status.OK, changes));
+    }
+
+    private List<String> availableIds() {
+        return upstreams.available(SERVICE).stream()
+                .map(upstream -> upstream.entry().id())
+                .toList();
+    }
+
+    private List<String> logLines(String event) {
+        log.start();
+        log.close();
+        return logText.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.contains("\"" + event + "\""))
+                .toList();
+    }
+
+    private static UpstreamListing decompress(ByteString bytes) throws Exception {
+        return UpstreamListing.parseFrom(Gzip.decompress(bytes));
+    }
+
+    @Nested
+    class UnreadableUpstreams {
+        @Test
+        void doNotHideOthersOfAListing() {
+            sync.start();
+            list(ObjectKind.UPSTREAMS, sound("a"), odd("b"), new StoredObject("c", 4, IntNode.valueOf(1)), sound("d"));
+            assertThat(availableIds()).containsExactly("a", "d");
+            assertThat(logLines("upstream-unreadable"))
+                    .hasSize(2)
+                    .first()
+                    .asString()
+                    .contains("\"b\"", "too deep");
+        }
+
+        @Test
+        void areNoLongerUsedAfterAChange() {
+            sync.start();
+            list(ObjectKind.UPSTREAMS, sound("a"), sound("b"));
+            change(ObjectKind.UPSTREAMS, 5, odd("b"));
+            assertThat(availableIds()).containsExactly("a");
+        }
+
+        @Test
+        void areNotSentToPeers() throws Exception {
+            sync.start();
+            list(ObjectKind.UPSTREAMS, sound("a"), odd("b"), sound("c"));
+            change(ObjectKind.UPSTREAMS, 5, odd("c"));
+            assertThat(decompress(sync.compressedUpstreams()).getUpstreamsList())
+                    .extracting(UpstreamRecord::getId)
+                    .containsExactly("a");
+        }
+
+        @Test
+        void ofAPeerDoNotHideOthers() {
+            UpstreamListing listing = UpstreamListing.newBuilder()
+                    .setRevision(7)
+                    .addUpstreams(UpstreamRecord.newBuilder()
+                            .setId("a")
+                            .setContent(ByteString.copyFromUtf8("9".repeat(5_000))))
+                    .addUpstreams(
+                            UpstreamRecord.newBuilder().setId("b").setContent(ByteString.copyFromUtf8("\"10.0.0.1\"")))
+                    .build();
+            sync.offerUpstreams(Gzip.compress(listing.toByteString()), "peer");
+            assertThat(availableIds()).containsExactly("b");
+            assertThat(sync.upstreamsRevision()).isEqualTo(7);
+        }
+    }
+
+    @Nested
+    class UnreadableConfigurations {
+        @Test
+        void keepTheActiveOne() {
+            sync.start();
+            list(ObjectKind.CONFIGURATION, new StoredObject("main", 4, IntNode.valueOf(3)));
+            change(ObjectKind.CONFIGURATION, 5, odd("main"));
+            change(ObjectKind.CONFIGURATION, 6, new StoredObject("main", 6, JsonNodeFactory.instance.objectNode()));
+            assertThat(sync.configuration().map(GatewayConfiguration::version)).isEqualTo(Optional.of(3L));
+            assertThat(logLines("configuration-unreadable")).hasSize(2);
+            change(ObjectKind.CONFIGURATION, 7, new StoredObject("main", 7, IntNode.valueOf(8)));
+            assertThat(sync.configuration().map(GatewayConfiguration::version)).isEqualTo(Optional.of(8L));
+        }
+    }
+}
