Limit the log lines about unreadable upstreams

Operators saw: a line for each change of an unreadable entry, as long as its content. Cause: upstream-unreadable was written whenever such an entry was listed or changed, with the whole offending value, of up to 1 MB, while up to 4,096 lines are queued in memory. Evidence, before the change: StateSyncTest areLoggedOnceWhileTheyStayTheSame:175 Expected size: 2 but was: 102 and doNotFloodTheLog with reasons of 1 MB, "Expected size to be between: 2 and 100 but was: 256"; the landed test has reasons of 10,000 characters, since the report of that failure exhausted the memory of the test run.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -8,13 +8,17 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.lovagethread.gateway.config.ConfigurationDecoder;
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.log.LogRateLimiter;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 import org.lovagethread.wire.generated.UpstreamListing;
@@ -35,6 +39,11 @@
     /** Source of configurations that were not received from a peer. */
     private static final String STORE = "store";
 
+    private static final int MAX_UNREADABLE_LINES_PER_SECOND = 10;
+
+    /** Maximum length of names and reasons in lines about unreadable upstreams. */
+    private static final int MAX_LOGGED_CHARS = 200;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Scheduler scheduler;
@@ -45,6 +54,8 @@
     private final KindWatcher configurationWatcher;
     private final KindWatcher upstreamWatcher;
     private final Map<String, StoredObject> upstreamObjects = new LinkedHashMap<>();
+    private final Map<String, String> unreadableReasons = new HashMap<>();
+    private final LogRateLimiter unreadableLines = new LogRateLimiter(MAX_UNREADABLE_LINES_PER_SECOND);
     private Optional<GatewayConfiguration> configuration = Optional.empty();
     private Optional<JsonNode> configurationJson = Optional.empty();
     private Optional<ByteString> compressedConfiguration = Optional.empty();
@@ -298,11 +309,13 @@
 
     private void replaceUpstreams(List<StoredObject> objects, long revision) {
         upstreamObjects.clear();
+        unreadableReasons.keySet().retainAll(names(objects));
         List<UpstreamEntry> entries = new ArrayList<>();
         for (StoredObject object : objects) {
             Either<String, UpstreamEntry> decoded = decode(object);
             if (decoded.isRight()) {
                 upstreamObjects.put(object.name(), object);
+                unreadableReasons.remove(object.name());
                 entries.add(decoded.get());
             } else {
                 logUnreadable(object, decoded.getLeft());
@@ -313,12 +326,29 @@
         upstreamTable.replaceAll(entries, storeHealth.recoveredMillis(), scheduler.nowMillis());
     }
 
+    private static Set<String> names(List<StoredObject> objects) {
+        return objects.stream().map(StoredObject::name).collect(Collectors.toSet());
+    }
+
     private Either<String, UpstreamEntry> decode(StoredObject object) {
         return object.defect().isPresent() ? Either.left(object.defect().get()) : decoder.decodeUpstream(object);
     }
 
+    /** Logs why an upstream cannot be read, unless it could not be read for the same reason before. */
     private void logUnreadable(StoredObject object, String reason) {
-        log.add(log.line("upstream-unreadable").put("upstream", object.name()).put("reason", reason));
+        String shortReason = abbreviate(reason);
+        boolean isKnown = shortReason.equals(unreadableReasons.put(object.name(), shortReason));
+        if (isKnown || !unreadableLines.tryAcquire(scheduler.nowMillis())) {
+            return;
+        }
+        log.add(log.line("upstream-unreadable")
+                .put("upstream", abbreviate(object.name()))
+                .put("reason", shortReason)
+                .put("omitted_before", unreadableLines.resetOmitted()));
+    }
+
+    private static String abbreviate(String text) {
+        return text.length() <= MAX_LOGGED_CHARS ? text : text.substring(0, MAX_LOGGED_CHARS) + "...";
     }
 
     private void applyChange(ObjectStore.Change change, long revision) {
@@ -327,6 +357,7 @@
         long now = scheduler.nowMillis();
         if (change.isRemoved()) {
             upstreamObjects.remove(object.name());
+            unreadableReasons.remove(object.name());
             boolean removed = upstreamTable.remove(object.name(), storeHealth.recoveredMillis(), now);
             log.add(log.line("upstream-removed")
                     .put("upstream", object.name())
@@ -342,6 +373,7 @@
             return;
         }
         upstreamObjects.put(object.name(), object);
+        unreadableReasons.remove(object.name());
         if (upstreamTable.put(decoded.get(), now)) {
             log.add(log.line("upstream-changed")
                     .put("upstream", object.name())
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
@@ -159,6 +159,33 @@
             assertThat(availableIds()).containsExactly("a");
         }
 
+        @Test
+        void areLoggedOnceWhileTheyStayTheSame() {
+            sync.start();
+            list(ObjectKind.UPSTREAMS, odd("b"));
+            for (int i = 0; i < 100; i++) {
+                change(ObjectKind.UPSTREAMS, 5 + i, odd("b"));
+                now += 1_000;
+            }
+            change(ObjectKind.UPSTREAMS, 200, sound("b"));
+            change(ObjectKind.UPSTREAMS, 201, odd("b"));
+            assertThat(logLines("upstream-unreadable")).hasSize(2);
+        }
+
+        @Test
+        void doNotFloodTheLog() {
+            sync.start();
+            list(ObjectKind.UPSTREAMS);
+            for (int i = 0; i < 200; i++) {
+                change(ObjectKind.UPSTREAMS, 5 + i, StoredObject.unreadable("b", 5 + i, i + "x".repeat(10_000)));
+            }
+            now += 1_000;
+            change(ObjectKind.UPSTREAMS, 2_000, odd("b"));
+            List<String> lines = logLines("upstream-unreadable");
+            assertThat(lines).hasSizeBetween(2, 100).allMatch(line -> line.length() < 1_000);
+            assertThat(lines.get(lines.size() - 1)).contains("omitted_before", "too deep");
+        }
+
         @Test
         void areNotSentToPeers() throws Exception {
             sync.start();
