Limit an exception of the decoder to its object

Callers saw nothing of this yet: no content is known that makes the decoder throw anything but the exception that it handles. If it did, a listing with such an entry would be dropped as a whole, and a gateway that starts would never become ready. Cause: an exception of the decoder ended the handling of the whole listing. Evidence: StateSyncTest.thatMakeTheDecoderFailDoNotHideOthers:196 failed before the change ("Expecting actual: []"). The test of the same name for configurations was written with the change and not run without it. Change: an exception makes one entry or one configuration unreadable, with the exception as the reason.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.lovagethread.gateway.config.ConfigurationDecoder;
 import org.lovagethread.gateway.config.GatewayConfiguration;
@@ -187,7 +188,7 @@
      * @param source the origin of the content, for the log
      */
     public void offerConfiguration(JsonNode content, String source) {
-        Either<String, GatewayConfiguration> decoded = decoder.decodeConfiguration(content);
+        Either<String, GatewayConfiguration> decoded = decode(() -> decoder.decodeConfiguration(content));
         if (decoded.isLeft()) {
             logUnreadableConfiguration(source, decoded.getLeft());
             return;
@@ -331,7 +332,18 @@
     }
 
     private Either<String, UpstreamEntry> decode(StoredObject object) {
-        return object.defect().isPresent() ? Either.left(object.defect().get()) : decoder.decodeUpstream(object);
+        return object.defect().isPresent()
+                ? Either.left(object.defect().get())
+                : decode(() -> decoder.decodeUpstream(object));
+    }
+
+    /** Decodes one object; an exception affects only that object. */
+    private static <T> Either<String, T> decode(Supplier<Either<String, T>> decoding) {
+        try {
+            return decoding.get();
+        } catch (RuntimeException e) {
+            return Either.left(e.toString());
+        }
     }
 
     /** Logs why an upstream cannot be read, unless it could not be read for the same reason before. */
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
@@ -81,6 +81,9 @@
     /** Decodes a number as the version of a configuration. */
     @Override
     public Either<String, GatewayConfiguration> decodeConfiguration(JsonNode content) {
+        if (content.asText().equals("fail")) {
+            throw new IllegalStateException("decoder");
+        }
         return content.isInt()
                 ? Either.right(new GatewayConfiguration(
                         content.asInt(),
@@ -95,6 +98,9 @@
     /** Decodes a text as the host of an upstream. */
     @Override
     public Either<String, UpstreamEntry> decodeUpstream(StoredObject object) {
+        if (object.content().asText().equals("fail")) {
+            throw new IllegalStateException("decoder");
+        }
         return object.content().isTextual()
                 ? Either.right(new UpstreamEntry(
                         object.name(), SERVICE, object.content().asText(), 80, "a", 1, false, false, 0))
@@ -186,6 +192,13 @@
             assertThat(lines.get(lines.size() - 1)).contains("omitted_before", "too deep");
         }
 
+        @Test
+        void thatMakeTheDecoderFailDoNotHideOthers() {
+            sync.start();
+            list(ObjectKind.UPSTREAMS, new StoredObject("a", 4, TextNode.valueOf("fail")), sound("b"));
+            assertThat(availableIds()).containsExactly("b");
+        }
+
         @Test
         void areNotSentToPeers() throws Exception {
             sync.start();
@@ -225,5 +238,15 @@
             change(ObjectKind.CONFIGURATION, 7, new StoredObject("main", 7, IntNode.valueOf(8)));
             assertThat(sync.configuration().map(GatewayConfiguration::version)).isEqualTo(Optional.of(8L));
         }
+
+        @Test
+        void thatMakeTheDecoderFailDoNotHideOthers() {
+            sync.start();
+            list(
+                    ObjectKind.CONFIGURATION,
+                    new StoredObject("first", 4, TextNode.valueOf("fail")),
+                    new StoredObject("main", 4, IntNode.valueOf(3)));
+            assertThat(sync.configuration().map(GatewayConfiguration::version)).isEqualTo(Optional.of(3L));
+        }
     }
 }
