Continue to watch after an error while handling a reply

Callers saw nothing of this yet; a gateway would stop to follow the store for good. Cause: only runtime exceptions of the observer on a list or a change were handled. An error, such as the overflow of the stack that a deeply nested entry can cause, or an exception elsewhere in the handling of a reply left the callback of the HTTP client, which drops it, and no further call was made. Evidence: KindWatcherTest failed on the former watcher: continuesAfterObserverExhaustsTheStack:149->onChange:100 StackOverflow too deep retriesAfterObserverFailsOnAReply:161->onCallCompleted:109 IllegalState call Change: the watcher reports any exception or error and repeats the call after the usual delay. The client of the store delivers a reply whatever exception the decoding ends with. Looked at as well: the lease and the usage reports repeat their calls from the tick of the gateway.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
@@ -60,11 +60,11 @@
         void onCallCompleted(boolean processed);
 
         /**
-         * Handles an exception that this observer threw on a list or a change. The watcher continues.
+         * Handles an exception or error that this observer threw. The watcher continues.
          *
-         * @param exception the exception
+         * @param failure the exception or error
          */
-        void onFailure(RuntimeException exception);
+        void onFailure(Throwable failure);
     }
 
     /**
@@ -117,17 +117,16 @@
     }
 
     private void list(String after, long callId) {
-        store.list(kind, after, reply -> {
-            if (isStale(callId)) {
-                return;
-            }
-            observer.onCallCompleted(reply.isProcessed());
-            if (reply.status() == Status.OK && reply.value().isPresent()) {
-                onPage(reply.value().get(), callId);
-            } else {
-                scheduleRetry();
-            }
-        });
+        store.list(
+                kind,
+                after,
+                reply -> onReply(callId, reply, () -> {
+                    if (reply.status() == Status.OK && reply.value().isPresent()) {
+                        onPage(reply.value().get(), callId);
+                    } else {
+                        scheduleRetry();
+                    }
+                }));
     }
 
     private void onPage(ObjectStore.Page page, long callId) {
@@ -139,29 +138,49 @@
         retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
         revision = page.revision();
         List<StoredObject> complete = listing;
-        notifyObserver(() -> observer.onListing(complete, revision));
         listing = new ArrayList<>();
+        notifyObserver(() -> observer.onListing(complete, revision));
         watch(callId);
     }
 
     private void watch(long callId) {
-        store.watch(kind, revision, timing.maxWaitMillis(), reply -> {
-            if (isStale(callId)) {
-                return;
-            }
+        store.watch(
+                kind,
+                revision,
+                timing.maxWaitMillis(),
+                reply -> onReply(callId, reply, () -> {
+                    if (reply.status() == Status.OK && reply.value().isPresent()) {
+                        retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
+                        onChanges(reply.value().get());
+                        continueWatching(reply.value().get(), callId);
+                    } else {
+                        onFailedWatch(reply.status());
+                    }
+                }));
+    }
+
+    private void onFailedWatch(Status status) {
+        if (status == Status.HISTORY_GONE) {
+            revision = -1;
+            retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
+        }
+        scheduleRetry();
+    }
+
+    /** Handles a reply to the current call. An exception is reported, and the call is repeated. */
+    private void onReply(long callId, StoreReply<?> reply, Runnable handler) {
+        if (isStale(callId)) {
+            return;
+        }
+        try {
             observer.onCallCompleted(reply.isProcessed());
-            if (reply.status() == Status.OK && reply.value().isPresent()) {
-                retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
-                onChanges(reply.value().get());
-                continueWatching(reply.value().get(), callId);
-            } else {
-                if (reply.status() == Status.HISTORY_GONE) {
-                    revision = -1;
-                    retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
-                }
+            handler.run();
+        } catch (RuntimeException | Error e) {
+            observer.onFailure(e);
+            if (!isStale(callId)) {
                 scheduleRetry();
             }
-        });
+        }
     }
 
     private void continueWatching(ObjectStore.Changes received, long callId) {
@@ -186,7 +205,7 @@
     private void notifyObserver(Runnable notification) {
         try {
             notification.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             observer.onFailure(e);
         }
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -411,8 +411,8 @@
         }
     }
 
-    private void logFailure(RuntimeException exception) {
-        log.add(log.line("store-change-failed").put("reason", exception.toString()));
+    private void logFailure(Throwable failure) {
+        log.add(log.line("store-change-failed").put("reason", failure.toString()));
     }
 
     private static ByteString toJson(JsonNode content) {
@@ -442,8 +442,8 @@
         }
 
         @Override
-        public void onFailure(RuntimeException exception) {
-            StateSync.this.logFailure(exception);
+        public void onFailure(Throwable failure) {
+            StateSync.this.logFailure(failure);
         }
     }
 
@@ -464,8 +464,8 @@
         }
 
         @Override
-        public void onFailure(RuntimeException exception) {
-            StateSync.this.logFailure(exception);
+        public void onFailure(Throwable failure) {
+            StateSync.this.logFailure(failure);
         }
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
@@ -21,6 +21,7 @@
     private final KindWatcher watcher =
             new KindWatcher(store, ObjectKind.UPSTREAMS, new KindWatcher.Timing(5_000, 100, 400), this, this);
     private long now;
+    private boolean failsOnCalls;
 
     /** Captures the last call of each kind, to which a test then replies. */
     private static final class ScriptedStore implements ObjectStore {
@@ -95,16 +96,23 @@
         if (change.object().name().equals("poison")) {
             throw new IllegalStateException("poisoned");
         }
+        if (change.object().name().equals("deep")) {
+            throw new StackOverflowError("too deep");
+        }
         events.add(
                 (change.isRemoved() ? "removed " : "changed ") + change.object().name());
     }
 
     @Override
-    public void onCallCompleted(boolean processed) {}
+    public void onCallCompleted(boolean processed) {
+        if (failsOnCalls) {
+            throw new IllegalStateException("call");
+        }
+    }
 
     @Override
-    public void onFailure(RuntimeException exception) {
-        events.add(exception.getMessage());
+    public void onFailure(Throwable failure) {
+        events.add(failure.getMessage());
     }
 
     @Test
@@ -134,6 +142,35 @@
         assertThat(store.lastRevision).isEqualTo(10);
     }
 
+    @Test
+    void continuesAfterObserverExhaustsTheStack() {
+        watcher.start();
+        store.listReply.accept(StoreReply.of(Status.OK, page(false, 8, "a")));
+        store.watchReply.accept(StoreReply.of(
+                Status.OK,
+                new Changes(List.of(new Change(object("deep", 9), false), new Change(object("b", 10), false)), 10)));
+        assertThat(events).endsWith("too deep", "changed b");
+        fireTimers();
+        assertThat(store.lastRevision).isEqualTo(10);
+    }
+
+    @Test
+    void retriesAfterObserverFailsOnAReply() {
+        watcher.start();
+        failsOnCalls = true;
+        store.listReply.accept(StoreReply.of(Status.OK, page(false, 8, "a")));
+        failsOnCalls = false;
+        fireTimers();
+        store.listReply.accept(StoreReply.of(Status.OK, page(false, 8, "a")));
+        assertThat(events).containsExactly("call", "list [a] at 8");
+        failsOnCalls = true;
+        store.watchReply.accept(StoreReply.of(Status.OK, new Changes(List.of(), 9)));
+        failsOnCalls = false;
+        store.lastRevision = 0;
+        fireTimers();
+        assertThat(store.lastRevision).isEqualTo(8);
+    }
+
     @Test
     void listsAgainWhenHistoryIsUnavailable() {
         watcher.start();
