Never list the same page again after an object without a name

A gateway would list the same page without pause and collect its objects until its memory is exhausted. Cause: the next page starts after the name of the last object. If that name cannot be read it is empty, which denotes the first page. Change: the next page starts after the last readable name, and a page without a new name is the last one, like an empty page. The registry, which had the same loop, uses the same method.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/GatewayRegistry.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/GatewayRegistry.java
@@ -161,11 +161,7 @@
             }
             ObjectStore.Page page = reply.value().get();
             collected.addAll(page.objects());
-            if (page.hasMore() && !page.objects().isEmpty()) {
-                list(page.objects().get(page.objects().size() - 1).name(), collected);
-            } else {
-                onListed(collected);
-            }
+            page.nextAfter(after).ifPresentOrElse(name -> list(name, collected), () -> onListed(collected));
         });
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.lovagethread.gateway.store.StoreReply.Status;
 
 /**
@@ -127,17 +128,18 @@
                 after,
                 reply -> onReply(callId, reply, () -> {
                     if (reply.status() == Status.OK && reply.value().isPresent()) {
-                        onPage(reply.value().get(), callId);
+                        onPage(reply.value().get(), after, callId);
                     } else {
                         scheduleRetry();
                     }
                 }));
     }
 
-    private void onPage(ObjectStore.Page page, long callId) {
+    private void onPage(ObjectStore.Page page, String after, long callId) {
         listing.addAll(page.objects());
-        if (page.hasMore() && !page.objects().isEmpty()) {
-            list(page.objects().get(page.objects().size() - 1).name(), callId);
+        Optional<String> next = page.nextAfter(after);
+        if (next.isPresent()) {
+            list(next.get(), callId);
             return;
         }
         retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectStore.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectStore.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Asynchronous client of the platform's object store. Replies are delivered on the event loop of the gateway. */
@@ -14,7 +15,24 @@
      * @param hasMore whether further pages follow
      * @param revision the revision of the store that the page reflects
      */
-    record Page(List<StoredObject> objects, boolean hasMore, long revision) {}
+    record Page(List<StoredObject> objects, boolean hasMore, long revision) {
+        /**
+         * Returns the name after which the next page starts.
+         *
+         * @param afterName the name after which this page started; an empty string for the first page
+         * @return the last name on this page; empty if no page follows, or none can be requested without a new name
+         */
+        public Optional<String> nextAfter(String afterName) {
+            if (!hasMore) {
+                return Optional.empty();
+            }
+            return objects.stream()
+                    .map(StoredObject::name)
+                    .filter(name -> !name.isEmpty())
+                    .reduce((earlier, later) -> later)
+                    .filter(name -> !name.equals(afterName));
+        }
+    }
 
     /**
      * The changes since a revision.
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
@@ -171,6 +171,17 @@
         assertThat(store.lastRevision).isEqualTo(8);
     }
 
+    @Test
+    void doesNotListTheSamePageForeverAfterAnObjectWithoutAName() {
+        watcher.start();
+        store.listReply.accept(StoreReply.of(Status.OK, page(true, 7, "a", "b", "")));
+        assertThat(store.lastAfterName).isEqualTo("b");
+        store.lastAfterName = "none";
+        store.listReply.accept(StoreReply.of(Status.OK, page(true, 7, "")));
+        assertThat(store.lastAfterName).isEqualTo("none");
+        assertThat(events).containsExactly("list [a, b, , ] at 7");
+    }
+
     @Test
     void listsAgainWhenChangesCannotBeRead() {
         watcher.start();
