Ignore registrations of gateways without an IP address

Callers saw nothing of this yet; requests would wait while a gateway looks up a name. Cause: the host of a registration was added to the peers unchecked. The name of a host would be looked up on the event loop, for each state message, and an empty host stands for this machine itself. Evidence: GatewayRegistryTest.ignoresRegistrationsWithoutAnIpAddress:90 failed: the peers included the odd hosts. How long a lookup blocks was not measured. Change: such a registration is logged and ignored.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/GatewayRegistry.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/peer/GatewayRegistry.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.util.NetUtil;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -170,6 +171,10 @@
         Set<String> unlistedHosts = new HashSet<>(hostByName.values());
         hostByName.clear();
         for (StoredObject object : objects) {
+            if (!isIpAddress(hostOf(object))) {
+                log.add(log.line("registration-unreadable").put("gateway", object.name()));
+                continue;
+            }
             hostByName.put(object.name(), hostOf(object));
             unlistedHosts.remove(hostOf(object));
             peers.add(new PeerTable.GatewayInstance(
@@ -199,6 +204,11 @@
         return content;
     }
 
+    /** Returns whether a host can be used without a name lookup, which would block the event loop. */
+    private static boolean isIpAddress(String host) {
+        return NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host);
+    }
+
     private static String hostOf(StoredObject object) {
         return object.content().path(HOST).asText();
     }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/GatewayRegistryTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/GatewayRegistryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.store.FakeStore;
+import org.lovagethread.gateway.store.ObjectKind;
 import org.lovagethread.gateway.store.Scheduler;
 
 class GatewayRegistryTest {
@@ -73,6 +75,21 @@
             assertThat(two.peers.targetHosts()).containsExactly("10.0.0.1");
         }
 
+        @Test
+        void ignoresRegistrationsWithoutAnIpAddress() {
+            for (String host : List.of("", "gateway.example", "10.0.0", "10.0.0.2:80")) {
+                store.create(
+                        ObjectKind.GATEWAYS,
+                        "odd-" + host,
+                        JsonNodeFactory.instance.objectNode().put("host", host),
+                        reply -> {});
+            }
+            new TestGateway("one", "10.0.0.1").registry.start(() -> {});
+            TestGateway two = new TestGateway("two", "10.0.0.2");
+            two.registry.start(() -> {});
+            assertThat(two.peers.targetHosts()).containsExactly("10.0.0.1");
+        }
+
         @Test
         void retriesUntilStoreIsAvailable() {
             TestGateway one = new TestGateway("one", "10.0.0.1");
