Read the idle timeout of a connection at its first tick

It never decreases afterwards, so the value at the opening adds nothing. CallerChannelHandlerTest.PipelinedRequests, which uses a connection without limits, failed on the merged code with a NullPointerException.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -58,7 +58,6 @@
     CallerChannelHandler(CallerServer server, ClientLimits limits) {
         this.server = server;
         this.limits = limits;
-        this.idleTimeoutMillis = limits.idleTimeoutMillis();
     }
 
     @Override
