Split the state of an attempt and the proof of responses from Exchange

Attempt and ResponseClassifier are classes of their own now, and the priority belongs to AdmittedRequest. No behaviour changes.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
@@ -27,4 +27,17 @@
         Route route,
         ServiceSpec service,
         Optional<Customer> customer,
-        OptionalLong targetMillis) {}
+        OptionalLong targetMillis) {
+    /** Weight of the customer's priority relative to the route's. */
+    private static final int CUSTOMER_PRIORITY_STEP = 3;
+
+    private static final int MAX_PRIORITY = 9;
+
+    /** Returns the priority that is sent to upstreams, where zero is the highest. */
+    int priority() {
+        int customerPriority = customer.map(Customer::priority)
+                .filter(priority -> priority > 0)
+                .orElse(0);
+        return Math.min(MAX_PRIORITY, customerPriority * CUSTOMER_PRIORITY_STEP + route.priority());
+    }
+}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
@@ -0,0 +1,64 @@
+package org.lovagethread.gateway.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponse;
+import org.lovagethread.gateway.config.Route;
+import org.lovagethread.gateway.policy.InactivityTimeout;
+import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.upstream.Upstream;
+
+/** An attempt to have the request served by one upstream, and the part of its response received so far. */
+final class Attempt {
+    final Upstream upstream;
+    final Placement.Choice choice;
+    final long sentMillis;
+    final long memoryTokens;
+    final boolean resumesStream;
+    final EventSplitter eventSplitter = new EventSplitter();
+    UpstreamClient.RequestHandle handle;
+    HttpResponse response;
+    final ByteBuf buffered = Unpooled.buffer(0);
+    long lastBytesMillis;
+    long lastBytesObservedMillis;
+    boolean firstEventReceived;
+    long firstEventMillis;
+    boolean responseEnded;
+    boolean silenceRecorded;
+    long bytesSinceEvent;
+
+    Attempt(Placement.Choice choice, long memoryTokens, boolean resumesStream, long nowMillis, long observedMillis) {
+        this.resumesStream = resumesStream;
+        this.choice = choice;
+        this.upstream = choice.upstream();
+        this.memoryTokens = memoryTokens;
+        this.sentMillis = nowMillis;
+        recordBytes(nowMillis, observedMillis);
+    }
+
+    void recordBytes(long nowMillis, long observedMillis) {
+        lastBytesMillis = nowMillis;
+        lastBytesObservedMillis = observedMillis;
+    }
+
+    /** Returns whether the next event must be the one after the last event of the interrupted stream. */
+    boolean awaitsContinuation() {
+        return resumesStream && !firstEventReceived;
+    }
+
+    /** Returns whether the upstream has sent no data within the timeout that applies to the current phase. */
+    boolean isSilent(Route route, boolean streamStarted, long observedMillis) {
+        boolean upstreamActive = upstream.lastReceivedMillis() > lastBytesMillis;
+        InactivityTimeout timeout = InactivityTimeout.of(route, firstEventReceived || streamStarted);
+        return observedMillis - lastBytesObservedMillis
+                > timeout.timeoutMillis((long) choice.predictedLatencyMillis(), upstreamActive);
+    }
+
+    /** Releases the load of the attempt and cancels it unless its response is complete. */
+    void release() {
+        upstream.load().recordEnd(firstEventReceived, choice.unreadTokens(), memoryTokens);
+        if (!responseEnded && handle != null) {
+            handle.cancel();
+        }
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -1,14 +1,10 @@
 package org.lovagethread.gateway.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.lovagethread.core.error.ErrorKind;
@@ -45,12 +41,8 @@
     /** Maximum size of a buffered response, in bytes. Event streams are not buffered. */
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
-    /** Weight of the customer's priority relative to the route's in the priority sent to upstreams. */
-    private static final int CUSTOMER_PRIORITY_STEP = 3;
-
-    private static final int MAX_PRIORITY = 9;
-
     private final ExchangeContext context;
+    private final ResponseClassifier responses;
     private final ResponseWriter caller;
     private final HttpRequest request;
     private final ByteBuf body;
@@ -78,54 +70,11 @@
     private boolean readingPaused;
     private Optional<BufferedResponse> upstreamError = Optional.empty();
 
-    /** An attempt to have the request served by one upstream, and the part of its response received so far. */
-    private static final class Attempt {
-        private final Upstream upstream;
-        private final Placement.Choice choice;
-        private final long sentMillis;
-        private final long memoryTokens;
-        private final boolean resumesStream;
-        private final EventSplitter eventSplitter = new EventSplitter();
-        private UpstreamClient.RequestHandle handle;
-        private HttpResponse response;
-        private final ByteBuf buffered = Unpooled.buffer(0);
-        private long lastBytesMillis;
-        private long lastBytesObservedMillis;
-        private boolean firstEventReceived;
-        private long firstEventMillis;
-        private boolean responseEnded;
-        private boolean silenceRecorded;
-        private long bytesSinceEvent;
-
-        private Attempt(
-                Placement.Choice choice,
-                long memoryTokens,
-                boolean resumesStream,
-                long nowMillis,
-                long observedMillis) {
-            this.resumesStream = resumesStream;
-            this.choice = choice;
-            this.upstream = choice.upstream();
-            this.memoryTokens = memoryTokens;
-            this.sentMillis = nowMillis;
-            recordBytes(nowMillis, observedMillis);
-        }
-
-        private void recordBytes(long nowMillis, long observedMillis) {
-            lastBytesMillis = nowMillis;
-            lastBytesObservedMillis = observedMillis;
-        }
-
-        /** Returns whether the next event must be the one after the last event of the interrupted stream. */
-        private boolean awaitsContinuation() {
-            return resumesStream && !firstEventReceived;
-        }
-    }
-
     private record BufferedResponse(HttpResponse response, ByteBuf body) {}
 
     Exchange(ExchangeContext context, ResponseWriter caller, AdmittedRequest admitted, long nowMillis) {
         this.context = context;
+        this.responses = new ResponseClassifier(context.headerCodec());
         this.caller = caller;
         this.request = admitted.request();
         this.body = admitted.body();
@@ -201,7 +150,7 @@
     }
 
     private void checkSilence(long nowMillis) {
-        if (!isInactive()) {
+        if (!attempt.isSilent(route, streamStarted, context.observedMillis())) {
             return;
         }
         if (!attempt.silenceRecorded) {
@@ -215,13 +164,6 @@
         }
     }
 
-    private boolean isInactive() {
-        long inactiveMillis = context.observedMillis() - attempt.lastBytesObservedMillis;
-        boolean upstreamActive = attempt.upstream.lastReceivedMillis() > attempt.lastBytesMillis;
-        InactivityTimeout timeout = InactivityTimeout.of(route, attempt.firstEventReceived || streamStarted);
-        return inactiveMillis > timeout.timeoutMillis((long) attempt.choice.predictedLatencyMillis(), upstreamActive);
-    }
-
     /** Stops reading from the current attempt, and keeps it for the case that its replacement fails at once. */
     private void suspendAttempt(long nowMillis) {
         record.recordFailure(AttemptOutcome.SILENT, "no data within the inactivity timeout", nowMillis);
@@ -244,7 +186,7 @@
     }
 
     private void endSuspended() {
-        suspended.ifPresent(Exchange::release);
+        suspended.ifPresent(Attempt::release);
         suspended = Optional.empty();
     }
 
@@ -324,7 +266,7 @@
                                 upstream.entry(),
                                 customer.map(Customer::name),
                                 remainingMillis,
-                                priority(),
+                                record.admitted().priority(),
                                 lastEventId));
         UpstreamClient.RequestHandle handle = context.upstreamClient()
                 .send(
@@ -339,13 +281,6 @@
         }
     }
 
-    private int priority() {
-        int customerPriority = customer.map(Customer::priority)
-                .filter(priority -> priority > 0)
-                .orElse(0);
-        return Math.min(MAX_PRIORITY, customerPriority * CUSTOMER_PRIORITY_STEP + route.priority());
-    }
-
     @Override
     public void onNotSent() {
         if (attempt != null) {
@@ -391,18 +326,17 @@
         attempt.responseEnded = true;
         if (isEventStream()) {
             endStream(now);
-        } else if (context.headerCodec().statesNotRun(attempt.response)) {
+        } else if (responses.statesNotRun(attempt.response)) {
             attempt.upstream.failureDetector().recordOutcome(false, now);
             onAttemptFailed(
                     AttemptOutcome.REJECTED,
                     "rejected with status " + attempt.response.status().code(),
                     now);
-        } else if (isSuccess(attempt.response)
-                && proofOfOrigin(attempt.response).isEmpty()) {
+        } else if (ResponseClassifier.isSuccess(attempt.response) && !responses.hasProof(attempt.response)) {
             onAttemptFailed(AttemptOutcome.BROKEN, "response has no proof of origin", now);
-        } else if (streamStarted || isFailure(attempt.response)) {
+        } else if (streamStarted || responses.isFailure(attempt.response)) {
             upstreamError = Optional.of(new BufferedResponse(attempt.response, attempt.buffered))
-                    .filter(error -> !promisesNotRun(error.response()));
+                    .filter(error -> !responses.promisesNotRun(error.response()));
             attempt.upstream.failureDetector().recordOutcome(false, now);
             onAttemptFailed(
                     AttemptOutcome.FAILED,
@@ -426,13 +360,13 @@
     }
 
     private void forwardResponse(long nowMillis) {
-        if (isSuccess(attempt.response)) {
+        if (ResponseClassifier.isSuccess(attempt.response)) {
             attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
             attempt.upstream.recordResponseTime((double) (nowMillis - attempt.sentMillis));
         }
         recordUsage();
         caller.sendResponse(attempt.response.status(), attempt.response.headers(), attempt.buffered);
-        finish(isSuccess(attempt.response) ? "answered" : "upstream-status", nowMillis);
+        finish(ResponseClassifier.isSuccess(attempt.response) ? "answered" : "upstream-status", nowMillis);
     }
 
     private void onEvent(long id, ByteBuf event) {
@@ -451,7 +385,7 @@
             onFirstEvent(now);
         }
         if (!streamStarted) {
-            streamMediaType = mediaType(attempt.response);
+            streamMediaType = ResponseClassifier.mediaType(attempt.response);
             caller.startStream(attempt.response.status(), attempt.response.headers());
             streamStarted = true;
             record.recordFirstEvent(now);
@@ -555,7 +489,7 @@
             caller.abort();
             finish("stream-cut", nowMillis);
         } else if (upstreamError.isPresent()
-                && proofOfOrigin(upstreamError.get().response()).isPresent()) {
+                && responses.hasProof(upstreamError.get().response())) {
             recordUsage();
             caller.sendResponse(
                     upstreamError.get().response().status(),
@@ -642,7 +576,6 @@
         context.onExchangeEnded(this, record);
     }
 
-    /** Releases the load of the current attempt and cancels it unless its response is complete. */
     private void endAttempt() {
         Attempt finished = attempt;
         if (finished == null) {
@@ -650,16 +583,7 @@
         }
         attempt = null;
         readingPaused = false;
-        release(finished);
-    }
-
-    private static void release(Attempt finished) {
-        finished.upstream
-                .load()
-                .recordEnd(finished.firstEventReceived, finished.choice.unreadTokens(), finished.memoryTokens);
-        if (!finished.responseEnded && finished.handle != null) {
-            finished.handle.cancel();
-        }
+        finished.release();
     }
 
     private void recordActivity() {
@@ -668,32 +592,9 @@
         attempt.upstream.recordReceived(now);
     }
 
-    private Optional<String> proofOfOrigin(HttpResponse response) {
-        return context.headerCodec().proofOfOrigin(response.headers());
-    }
-
     private boolean isEventStream() {
         return route.isStreaming()
-                && isSuccess(attempt.response)
-                && proofOfOrigin(attempt.response).isPresent()
-                && (!streamStarted || streamMediaType.equals(mediaType(attempt.response)));
-    }
-
-    private static Optional<String> mediaType(HttpResponse response) {
-        return Optional.ofNullable(HttpUtil.getMimeType(response))
-                .map(type -> type.toString().strip().toLowerCase(Locale.ROOT));
-    }
-
-    private boolean isFailure(HttpResponse response) {
-        return response.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code() || promisesNotRun(response);
-    }
-
-    private boolean promisesNotRun(HttpResponse response) {
-        return context.headerCodec().promisesNotRun(response.status());
-    }
-
-    private static boolean isSuccess(HttpResponse response) {
-        int code = response.status().code();
-        return code >= HttpResponseStatus.OK.code() && code < HttpResponseStatus.MULTIPLE_CHOICES.code();
+                && responses.isSuccessWithProof(attempt.response)
+                && (!streamStarted || streamMediaType.equals(ResponseClassifier.mediaType(attempt.response)));
     }
 }
