--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
@@ -86,15 +86,6 @@
         return (int) connections.stream().filter(CallerChannelHandler::isBusy).count();
     }
 
-    /**
-     * Returns the number of open connections.
-     *
-     * @return the number of connections, idle or not
-     */
-    int openConnections() {
-        return connections.size();
-    }
-
     /**
      * Applies the timeouts of connections and requests.
      *
@@ -155,7 +146,7 @@
             connection.sendError(refusal.kind(), refusal.retryAfterMillis());
             return;
         }
-        if (gateway.hasDrained()
+        if (gateway.isEnding()
                 || (decision.get().route().isStreaming() && now - drainStartMillis > STREAM_ACCEPT_MILLIS)) {
             gateway.refundQuota(decision.get());
             gateway.recordRefusal(
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -173,9 +173,9 @@
         return (InetSocketAddress) callerListener.localAddress();
     }
 
-    /** Returns whether this gateway is stopping and refuses all further requests. */
-    boolean hasDrained() {
-        return shutdown.hasDrained(nowMillis());
+    /** Returns whether this gateway refuses all further requests because its process is about to be killed. */
+    boolean isEnding() {
+        return shutdown.isEnding();
     }
 
     /** Closes the port for callers. Connections that are open stay open. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
@@ -58,12 +58,15 @@
     }
 
     /**
-     * Returns whether the drain time is over, so that requests of callers that still connect are refused.
+     * Returns whether requests are refused because the process is about to be killed.
      *
-     * @param nowMillis the current time in milliseconds
-     * @return true from the end of the drain time on
+     * @return true from the time on at which requests in progress are ended
      */
-    boolean hasDrained(long nowMillis) {
+    boolean isEnding() {
+        return requestsEnded;
+    }
+
+    private boolean hasDrained(long nowMillis) {
         return startMillis >= 0 && nowMillis - startMillis > Math.min(CALLER_DRAIN_MILLIS, lastRequestMillis());
     }
 
@@ -92,8 +95,8 @@
             lastReadMillis = nowMillis + LAST_READ_MILLIS;
             gateway.stopAccepting();
         }
-        boolean closed = nowMillis >= lastReadMillis && gateway.callerServer().openConnections() == 0;
-        if (closed || elapsedMillis > graceMillis - EXIT_MARGIN_MILLIS) {
+        boolean answered = nowMillis >= lastReadMillis && gateway.callerServer().activeRequests() == 0;
+        if (answered || elapsedMillis > graceMillis - EXIT_MARGIN_MILLIS) {
             stopped = true;
             gateway.signalStopped();
         }
