--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 case_folder="$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)"
 cd "$case_folder/../.." || exit 2
 test -d target/review || { echo "run review/build.sh first" >&2; exit 2; }
-exec java -Xmx256m -cp 'target/review:target/deploy/lib/*' SilentWatch "$case_folder/record.txt"
+exec java -Xmx256m -cp 'target/review:target/deploy/lib/*' EndlessLines "$case_folder/record.txt"
--- a/review/src/Node.java
+++ b/review/src/Node.java
@@ -116,6 +116,13 @@
         process.destroyForcibly().waitFor();
     }
 
+    /** Sends SIGKILL to a process that still runs. */
+    void destroy() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
     long pid() {
         return process.pid();
     }
--- a/review/src/Scenario.java
+++ b/review/src/Scenario.java
@@ -37,6 +37,7 @@
     }
 
     int run() {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> nodes.forEach(Node::destroy)));
         int status = NOT_RUN;
         try {
             note("trouble=" + (trouble ? 1 : 0));
