--- a/review/src/LargeBodies.java
+++ b/review/src/LargeBodies.java
@@ -15,15 +15,15 @@
     private static final int CLIENT_TIMEOUT_MILLIS = 6_000;
     private static final int MIN_OVERDUE = 8;
     private static final int CALLERS = 12;
-    private static final int UPLOADS = 30;
+    private static final int UPLOADS = 40;
 
     /** Size of a body, below max_body_bytes (4,194,304). */
     private static final int BODY_BYTES = 4_100_000;
 
-    /** Time in which each client sends its body, in steps; all bodies together use about a third of the link. */
+    /** Time in which each client sends its body, in steps; all bodies together use a quarter of the link. */
     private static final int UPLOAD_STEPS = 100;
 
-    private static final long UPLOAD_STEP_MILLIS = 30;
+    private static final long UPLOAD_STEP_MILLIS = 50;
 
     private final Map<String, AtomicInteger> runsById = new ConcurrentHashMap<>();
     private final AtomicInteger answered = new AtomicInteger();
@@ -63,7 +63,7 @@
             upload.start();
             clients.add(upload);
         }
-        for (int i = 0; i < 14; i++) {
+        for (int i = 0; i < 20; i++) {
             Thread.sleep(1_000);
             note("readiness check: " + nodes.get(0).readinessStatus() + ", process runs: " + nodes.get(0).isAlive());
         }
