Close connections on which bytes follow a complete response

Cause: bytes behind a response that make up no whole head stayed in the HTTP decoder without an event. The connection was reused, and the bytes and the next response became one head, with the status of the bytes and the identifier of the response. A joined 503 that states "not run" was retried at another upstream. The log of an affected request shows an attempt REJECTED with status 503 at the upstream that had run it; a lost connection and a whole surplus response were ruled out by the same tests.

Change: ResponseDecoder owns the bytes of a client connection. It decodes only while a response is expected, and closes the connection otherwise; a head that contains another status line is malformed, for bytes that arrive after the next request was sent. Connections to upstreams, the store, peers and the duty API use it. A gauge counts the connections.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -279,6 +279,7 @@
         metrics.setState("requests_in_progress", callerServer.activeRequests());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
+        metrics.setState("upstream_connections_with_surplus_bytes", upstreamClient.connectionsWithSurplusBytes());
         return new SimpleHttpServer.Response(
                 HttpResponseStatus.OK, "text/plain; version=0.0.4", ByteString.copyFrom(metrics.exposition()));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
@@ -11,11 +11,12 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -32,15 +33,17 @@
     /** Maximum idle time of connections for requests that require a fresh one, in milliseconds. */
     private static final long MAX_FRESH_IDLE_MILLIS = 150;
 
-    private static final int MAX_LINE_BYTES = 8_192;
-    private static final int MAX_HEADER_BYTES = 65_536;
-    private static final int CHUNK_BYTES = 65_536;
+    private static final HttpDecoderConfig DECODER_CONFIG = new HttpDecoderConfig()
+            .setMaxInitialLineLength(8_192)
+            .setMaxHeaderSize(65_536)
+            .setMaxChunkSize(65_536);
 
     private final Bootstrap bootstrap;
     private final HeaderCodec headerCodec;
     private final LongSupplier clock;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long openedConnections;
+    private long connectionsWithSurplusBytes;
 
     NettyUpstreamClient(EventLoop loop, HeaderCodec headerCodec, LongSupplier clock) {
         this.headerCodec = headerCodec;
@@ -94,6 +97,19 @@
         return openedConnections;
     }
 
+    /**
+     * Returns the number of connections that were closed because bytes followed a complete response.
+     *
+     * @return the number of connections since the gateway was started
+     */
+    long connectionsWithSurplusBytes() {
+        return connectionsWithSurplusBytes;
+    }
+
+    void recordSurplusBytes() {
+        connectionsWithSurplusBytes++;
+    }
+
     long nowMillis() {
         return clock.getAsLong();
     }
@@ -133,16 +149,14 @@
 
     private RequestHandle open(UpstreamEntry upstream, FullHttpRequest message, Listener listener) {
         openedConnections++;
-        UpstreamConnection connection = new UpstreamConnection(this, upstream.id());
+        ResponseDecoder decoder = new ResponseDecoder(DECODER_CONFIG);
+        UpstreamConnection connection = new UpstreamConnection(this, upstream.id(), decoder);
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES, false, true))
-                                .addLast(connection);
+                        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
                     }
                 })
                 .connect(upstream.host(), upstream.port());
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
@@ -14,11 +14,12 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -49,8 +50,10 @@
     private static final long MAX_RESPONSE_MILLIS = 10_000;
 
     private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-    private static final int MAX_LINE_BYTES = 8_192;
-    private static final int CHUNK_BYTES = 65_536;
+    private static final HttpDecoderConfig DECODER_CONFIG = new HttpDecoderConfig()
+            .setMaxInitialLineLength(8_192)
+            .setMaxHeaderSize(8_192)
+            .setMaxChunkSize(65_536);
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final EventLoop loop;
@@ -131,7 +134,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_LINE_BYTES, CHUNK_BYTES))
+                                .addLast(connection.decoder, new HttpRequestEncoder())
                                 .addLast(connection.new ProgressHandler())
                                 .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
                                 .addLast(connection);
@@ -151,6 +154,7 @@
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final InetSocketAddress address;
+        private final ResponseDecoder decoder = new ResponseDecoder(DECODER_CONFIG);
         private Channel channel;
         private Request request;
         private Consumer<Response> callback;
@@ -197,6 +201,7 @@
                     HttpHeaderNames.HOST,
                     request.address().getHostString() + ':' + request.address().getPort());
             headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().size());
+            decoder.expectResponse(request.method());
             channel.writeAndFlush(message, channel.voidPromise());
         }
 
@@ -230,10 +235,7 @@
                 channel.close();
                 return;
             }
-            if (received.isPresent()) {
-                reusable = false;
-                return;
-            }
+            decoder.endResponse();
             ByteString bytes = ByteString.copyFrom(response.content().nioBuffer());
             reusable = HttpUtil.isKeepAlive(response);
             received = Optional.of(new Response(response.status().code(), true, bytes));
@@ -246,7 +248,7 @@
                 return;
             }
             Response response = received.get();
-            if (reusable) {
+            if (reusable && channel.isActive()) {
                 idleSinceNanos = System.nanoTime();
                 idle.computeIfAbsent(address, key -> new ArrayDeque<>()).push(this);
             } else {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -42,6 +42,7 @@
 
     private final NettyUpstreamClient client;
     private final String upstreamId;
+    private final ResponseDecoder decoder;
     private Channel channel;
     private FullHttpRequest pendingRequest;
     private Listener listener;
@@ -58,9 +59,10 @@
     private int requestGeneration;
     private boolean returningToPool;
 
-    UpstreamConnection(NettyUpstreamClient client, String upstreamId) {
+    UpstreamConnection(NettyUpstreamClient client, String upstreamId, ResponseDecoder decoder) {
         this.client = client;
         this.upstreamId = upstreamId;
+        this.decoder = decoder;
     }
 
     String upstreamId() {
@@ -121,6 +123,7 @@
         skippingResponse = false;
         skippedResponses = 0;
         skippedBytes = 0;
+        decoder.expectResponse(request.method());
         requestGeneration++;
         int expectedGeneration = requestGeneration;
         return new RequestHandle() {
@@ -260,6 +263,7 @@
             return;
         }
         listener = null;
+        decoder.endResponse();
         long now = client.nowMillis();
         channel.config().setAutoRead(true);
         if (isUsable()) {
@@ -301,6 +305,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (decoder.surplusReceived()) {
+            client.recordSurplusBytes();
+        }
         if (pendingRequest == null) {
             fail(connectionReset ? "the connection was reset" : "the connection was closed");
         }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
@@ -51,6 +51,14 @@
         }
     }
 
+    // Bytes behind a response were joined with the head of the next one, so its status was taken from them.
+    @Test
+    void doesNotTakeSurplusBytesAsPartOfTheNextResponse() throws Exception {
+        try (ScriptedServer server = startServer(FRESH + "HTTP/1.1 503 Busy\r\nA: ")) {
+            assertThat(statusOfRequestSentByCallback(server)).isEqualTo(200);
+        }
+    }
+
     @Test
     void reusesConnectionForRequestSentByCallback() throws Exception {
         try (ScriptedServer server = startServer(FRESH)) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -11,9 +11,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
@@ -97,8 +98,9 @@
     class Attribution {
         private final NettyUpstreamClient client =
                 new NettyUpstreamClient(new DefaultEventLoop(), context, System::currentTimeMillis);
-        private final UpstreamConnection connection = new UpstreamConnection(client, "i-1");
-        private final EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec(), connection);
+        private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
+        private final UpstreamConnection connection = new UpstreamConnection(client, "i-1", decoder);
+        private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
 
         private FullHttpRequest request(String id) {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
@@ -225,6 +227,57 @@
             }
         }
 
+        /** Returns the outcome of a request that is sent while the connection of an earlier one is in the pool. */
+        private String responseToLaterRequest(String firstResponse, ScriptedServer.Script laterResponses)
+                throws Exception {
+            RecordingListener first = new RecordingListener();
+            RecordingListener second = new RecordingListener();
+            ScriptedServer.Script script = (connection, request) -> connection == 1 && request == 1
+                    ? ScriptedServer.Reply.keep(firstResponse)
+                    : laterResponses.reply(connection, request);
+            try (ScriptedServer server = new ScriptedServer(script)) {
+                loop.execute(() -> send(client, server, "a", first));
+                assertThat(first.outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
+                        .isEqualTo("200 ok");
+                loop.execute(() -> send(client, server, "b", second));
+                return second.outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        // Bytes behind a response were joined with the head of the next one, so a request that had run was sent again.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 503 Busy\r\nnot-run: ",
+                    "HTTP/1.1 503 Busy\r\nnot-run: 1\r\n",
+                    "HTTP/1.1 200 OK\r\nContent-Type: appl",
+                    "HTTP/1.1 503 Bu",
+                    "x",
+                    "\r\n"
+                })
+        void closesConnectionIfBytesThatAreNoHeadFollowTheResponse(String surplus) throws Exception {
+            String response = responseToLaterRequest(
+                    success("a") + surplus,
+                    (connection, request) ->
+                            ScriptedServer.Reply.keep(connection == 1 ? withId(REFUSAL, "b") : success("b")));
+            assertThat(response).isEqualTo("200 ok");
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 503 Busy\r\nnot-run: ",
+                    "HTTP/1.1 503 Busy\r\nnot-run: 1\r\n",
+                    "HTTP/1.1 200 OK\r\nContent-Type: appl",
+                    "HTTP/1.1 503 Bu",
+                    "HTTP/1.1 503 "
+                })
+        void rejectsResponseWhoseHeadIsJoinedWithEarlierBytes(String surplus) throws Exception {
+            String response = responseToLaterRequest(
+                    success("a"), (connection, request) -> ScriptedServer.Reply.keep(surplus + success("b")));
+            assertThat(response).isEqualTo("failed");
+        }
+
         @Test
         void doesNotPassRefusalReceivedWithTheEndOfAResponseToTheNextRequest() throws Exception {
             String response = responseToRequestSentAtTheEndOf(withId(REFUSAL, "a") + REFUSAL + "\r\n", success("b"));
