Bound the work of the event loop for a body in many chunks

Cause: EventSplitter searched all pending bytes for the end of the event for each chunk, so the work grew with the square of the chunks. Without a network, a test with 1 MiB in lines did not finish within 5 s; memory and the number of bytes were ruled out, as large blocks of more bytes are read without delay. Two relatives: the client for the store, peers and the duty API copied a whole response for each 1,024 of its parts, and the event loop decoded up to sixteen buffers of one connection before it served another.

Change: EventSplitter examines each byte once; PooledHttpClient collects a body in one buffer, and ends the request before it closes the connection of an oversized response; ClientBootstrap reads one buffer of a connection in turn.

--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ClientBootstrap.java
@@ -0,0 +1,36 @@
+package org.lovagethread.gateway.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/** Creates bootstraps for connections that the gateway opens. */
+final class ClientBootstrap {
+    /**
+     * Number of buffers that are read from a connection before others are served. A server may send bytes faster than
+     * they are decoded.
+     */
+    private static final int READS_PER_TURN = 1;
+
+    private ClientBootstrap() {}
+
+    /**
+     * Creates a bootstrap without a handler.
+     *
+     * @param loop the gateway's event loop
+     * @param connectTimeoutMillis the maximum time for establishing a connection, in milliseconds
+     * @return a new bootstrap
+     */
+    static Bootstrap create(EventLoop loop, int connectTimeoutMillis) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+                .option(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS_PER_TURN));
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/EventSplitter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/EventSplitter.java
@@ -14,6 +14,15 @@
     private static final String ID_FIELD = "id:";
 
     private final ByteBuf pending = Unpooled.buffer(512);
+    private int searchedBytes;
+    private LinePosition position = LinePosition.INSIDE;
+
+    /** Where the search for the end of the pending event has got to; the first line of an event is never its last. */
+    private enum LinePosition {
+        INSIDE,
+        START,
+        AFTER_CARRIAGE_RETURN
+    }
 
     /**
      * Receives complete events.
@@ -54,23 +63,25 @@
         return pending.isReadable();
     }
 
+    /** Returns the index behind the first event, or a negative number. Each byte is examined only once. */
     private int findEndOfEvent() {
-        int from = pending.readerIndex();
-        while (from < pending.writerIndex()) {
-            int lineFeed = pending.indexOf(from, pending.writerIndex(), LINE_FEED);
-            if (lineFeed < 0) {
-                return -1;
-            }
-            int next = lineFeed + 1;
-            if (next < pending.writerIndex() && pending.getByte(next) == CARRIAGE_RETURN) {
-                next++;
-            }
-            if (next < pending.writerIndex() && pending.getByte(next) == LINE_FEED) {
-                return next + 1;
-            }
-            from = lineFeed + 1;
+        int from = pending.readerIndex() + searchedBytes;
+        int last = pending.forEachByte(from, pending.writerIndex() - from, this::isInsideEvent);
+        searchedBytes = last < 0 ? pending.readableBytes() : 0;
+        return last < 0 ? -1 : last + 1;
+    }
+
+    /** Returns whether an event goes on after a byte. It ends with a line that is empty but for a carriage return. */
+    private boolean isInsideEvent(byte next) {
+        boolean eventEnds = next == LINE_FEED && position != LinePosition.INSIDE;
+        if (next == LINE_FEED && !eventEnds) {
+            position = LinePosition.START;
+        } else if (next == CARRIAGE_RETURN && position == LinePosition.START) {
+            position = LinePosition.AFTER_CARRIAGE_RETURN;
+        } else {
+            position = LinePosition.INSIDE;
         }
-        return -1;
+        return !eventEnds;
     }
 
     private static long parseId(ByteBuf event) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
@@ -5,10 +5,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -48,11 +46,7 @@
     NettyUpstreamClient(EventLoop loop, HeaderCodec headerCodec, LongSupplier clock) {
         this.headerCodec = headerCodec;
         this.clock = clock;
-        this.bootstrap = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+        this.bootstrap = ClientBootstrap.create(loop, CONNECT_TIMEOUT_MILLIS);
     }
 
     @Override
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
@@ -1,27 +1,27 @@
 package org.lovagethread.gateway.http;
 
 import com.google.protobuf.ByteString;
-import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -124,20 +124,11 @@
 
     private void open(Request request, Consumer<Response> callback) {
         Connection connection = new Connection(request.address());
-        var connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
-                        Math.min(CONNECT_TIMEOUT_MILLIS, request.timeoutMillis()))
+        var connecting = ClientBootstrap.create(loop, (int) Math.min(CONNECT_TIMEOUT_MILLIS, request.timeoutMillis()))
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline()
-                                .addLast(connection.decoder, new HttpRequestEncoder())
-                                .addLast(connection.new ProgressHandler())
-                                .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
-                                .addLast(connection);
+                        channel.pipeline().addLast(connection.decoder, new HttpRequestEncoder(), connection);
                     }
                 })
                 .connect(request.address());
@@ -152,7 +143,11 @@
         });
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private static boolean isInformational(HttpResponse response) {
+        return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final InetSocketAddress address;
         private final ResponseDecoder decoder = new ResponseDecoder(DECODER_CONFIG);
         private Channel channel;
@@ -161,6 +156,8 @@
         private ScheduledFuture<?> timeout;
         private boolean sent;
         private boolean reusable;
+        private HttpResponse head;
+        private ByteBuf body = Unpooled.buffer(0);
         private Optional<Response> received = Optional.empty();
         private long idleSinceNanos;
         private long lastBytesNanos;
@@ -212,8 +209,7 @@
             if (callback != null && receiving && now < responseDeadlineNanos) {
                 timeout = loop.schedule(this::onTimeout, READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             } else if (callback != null) {
-                finish(Response.none(sent));
-                channel.close();
+                fail();
             }
         }
 
@@ -230,15 +226,44 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (callback == null || response.decoderResult().isFailure()) {
-                channel.close();
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+            lastBytesNanos = System.nanoTime();
+            if (callback == null || part.decoderResult().isFailure()) {
+                fail();
                 return;
             }
+            if (part instanceof HttpResponse header) {
+                head = header;
+                body.clear();
+            }
+            if (part instanceof HttpContent content) {
+                append(content.content());
+            }
+            if (callback != null && part instanceof LastHttpContent && !isInformational(head)) {
+                onResponseEnd();
+            }
+        }
+
+        private void append(ByteBuf bytes) {
+            if (body.readableBytes() + bytes.readableBytes() > MAX_RESPONSE_BYTES) {
+                fail();
+                return;
+            }
+            body.writeBytes(bytes);
+        }
+
+        /** Ends the request before its connection, whose end would otherwise complete a response without a length. */
+        private void fail() {
+            finish(Response.none(sent));
+            channel.close();
+        }
+
+        private void onResponseEnd() {
             decoder.endResponse();
-            ByteString bytes = ByteString.copyFrom(response.content().nioBuffer());
-            reusable = HttpUtil.isKeepAlive(response);
-            received = Optional.of(new Response(response.status().code(), true, bytes));
+            ByteString bytes = ByteString.copyFrom(body.nioBuffer());
+            body = Unpooled.buffer(0);
+            reusable = HttpUtil.isKeepAlive(head);
+            received = Optional.of(new Response(head.status().code(), true, bytes));
         }
 
         /** Completes the request only now, so that bytes received together with the response are detected. */
@@ -271,14 +296,5 @@
             finish(received.orElse(Response.none(sent)));
             channel.close();
         }
-
-        /** Records when parts of a response arrive. */
-        private final class ProgressHandler extends ChannelInboundHandlerAdapter {
-            @Override
-            public void channelRead(ChannelHandlerContext ctx, Object part) {
-                lastBytesNanos = System.nanoTime();
-                ctx.fireChannelRead(part);
-            }
-        }
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
@@ -1,6 +1,7 @@
 package org.lovagethread.gateway.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -115,6 +117,20 @@
             assertThat(attempt.cancelled).isTrue();
         }
 
+        // One endless event in many chunks stopped the gateway for many seconds before it was given up.
+        @Test
+        void isGivenUpInLinesOfOneEvent() {
+            FakeExchangeContext context = new FakeExchangeContext(1);
+            context.start(RouteKind.EVENT_STREAM, false, 1);
+            FakeExchangeContext.FakeAttempt attempt = context.lastAttempt();
+            attempt.sendHeader(200, FakeExchangeContext.PROOF);
+            assertTimeoutPreemptively(Duration.ofMillis(TIMEOUT_MILLIS), () -> {
+                while (!attempt.cancelled) {
+                    attempt.sendData("data: abcde\n");
+                }
+            });
+        }
+
         @Test
         void isGivenUpInRepeatedEvents() {
             FakeExchangeContext context = new FakeExchangeContext(1);
@@ -160,6 +176,11 @@
             assertGivenUp("HTTP/1.1 200 OK\r\n\r\n", "x");
         }
 
+        @Test
+        void isGivenUpInSmallChunks() throws Exception {
+            assertGivenUp("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "a\r\n0123456789\r\n");
+        }
+
         @Test
         void isGivenUpInBlankLines() throws Exception {
             assertGivenUp("", "\r\n");
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EventSplitterTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EventSplitterTest.java
@@ -1,14 +1,19 @@
 package org.lovagethread.gateway.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class EventSplitterTest {
+    private static final Duration MAX_DURATION = Duration.ofSeconds(5);
+
     private final EventSplitter splitter = new EventSplitter();
     private final List<String> events = new ArrayList<>();
 
@@ -40,4 +45,29 @@
         feed("data: a\n\n");
         assertThat(events).containsExactly("-1=data: a\n\n");
     }
+
+    // Each chunk had the whole pending event searched again, which stopped the gateway for many seconds.
+    @Test
+    void examinesEachByteOfAnEventInManyChunksOnlyOnce() {
+        ByteBuf line = Unpooled.copiedBuffer("data: abcde\n", StandardCharsets.UTF_8);
+        int lines = EventSplitter.MAX_EVENT_BYTES / line.readableBytes();
+        assertTimeoutPreemptively(MAX_DURATION, () -> {
+            for (int i = 0; i < lines; i++) {
+                splitter.feed(line.duplicate(), (id, event) -> events.add("unexpected"));
+            }
+        });
+        feed("\n");
+        assertThat(events).hasSize(1);
+        assertThat(splitter.hasPartialEvent()).isFalse();
+    }
+
+    @Test
+    void takesNoBlankLineAtTheBeginningForAnEvent() {
+        feed("\n");
+        feed("\r");
+        feed("\rid: 1\n\r");
+        assertThat(events).isEmpty();
+        feed("\n\n\n");
+        assertThat(events).containsExactly("-1=\n\r\rid: 1\n\r\n", "-1=\n\n");
+    }
 }
