Notice connections to the store that have gone silent within the contact time

Cause: a watch waited for 5 s and timed out after 6 s, and so was given up later than contact_ms (4 s), which the node did not read. Other calls tried each idle connection in turn, which had gone silent as well.

Change: SilenceTimeouts derives from contact_ms how long a connection that carries no bytes is relied upon, for watches and for idle connections to the store, peers, the duty API and upstreams. A call that times out without a response closes the idle connections to the same server.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import org.lovagethread.gateway.policy.SilenceTimeouts;
 
 /**
  * Settings of a gateway.
@@ -53,6 +54,7 @@
      * @param usageWindowMillis the length of a usage window in milliseconds
      * @param usageReportDeadlineMillis the time from the end of a window until its usage report is due, in milliseconds
      * @param maxAddressTtlMillis the maximum time for which callers may cache an address, in milliseconds
+     * @param silenceTimeouts how soon the loss of connections without a reset must be noticed
      */
     public record Bounds(
             long stopGraceMillis,
@@ -64,5 +66,6 @@
             long leaseMillis,
             long usageWindowMillis,
             long usageReportDeadlineMillis,
-            long maxAddressTtlMillis) {}
+            long maxAddressTtlMillis,
+            SilenceTimeouts silenceTimeouts) {}
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -100,7 +100,8 @@
         this.settings = settings;
         this.log = log;
         this.crashReporter = new CrashReporter(log, metrics);
-        PooledHttpClient httpClient = new PooledHttpClient(loop);
+        PooledHttpClient httpClient =
+                new PooledHttpClient(loop, settings.bounds().silenceTimeouts());
         this.ports = portsFactory.apply(httpClient);
         GatewaySettings.Bounds bounds = settings.bounds();
         ZoneTopology zones = new ZoneTopology(settings.zone(), settings.regionByZone());
@@ -110,7 +111,8 @@
         this.placement = new Placement(zones, engineModels);
         this.retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindowMillis());
         this.usage = new UsageLedger(bounds.usageWindowMillis(), this::clusterMillis);
-        this.sync = new StateSync(ports.store(), ports.configurationDecoder(), upstreams, this, log);
+        this.sync = new StateSync(
+                ports.store(), ports.configurationDecoder(), upstreams, this, bounds.silenceTimeouts(), log);
         this.lease = new DutyLease(ports.store(), settings.node() + '#' + incarnation, this, sync::recordCall);
         this.usageReporter = new UsageReporter(
                 ports.store(),
@@ -123,7 +125,11 @@
                 log);
         this.fleetManager =
                 new FleetManager(ports.duties(), upstreams, engineModels, this::nowMillis, lease::fencingToken, log);
-        this.upstreamClient = new NettyUpstreamClient(loop, ports.headerCodec(), this::nowMillis);
+        this.upstreamClient = new NettyUpstreamClient(
+                loop,
+                ports.headerCodec(),
+                this::nowMillis,
+                bounds.silenceTimeouts().contactMillis());
         this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
         this.peerExchange = new PeerExchange(this, httpClient);
         this.shutdown = new Shutdown(this, bounds);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
@@ -39,11 +39,13 @@
     private final Bootstrap bootstrap;
     private final HeaderCodec headerCodec;
     private final LongSupplier clock;
+    private final long maxIdleMillis;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long openedConnections;
     private long connectionsWithSurplusBytes;
 
-    NettyUpstreamClient(EventLoop loop, HeaderCodec headerCodec, LongSupplier clock) {
+    NettyUpstreamClient(EventLoop loop, HeaderCodec headerCodec, LongSupplier clock, long maxIdleMillis) {
+        this.maxIdleMillis = maxIdleMillis;
         this.headerCodec = headerCodec;
         this.clock = clock;
         this.bootstrap = ClientBootstrap.create(loop, CONNECT_TIMEOUT_MILLIS);
@@ -108,6 +110,10 @@
         return clock.getAsLong();
     }
 
+    long maxIdleMillis() {
+        return maxIdleMillis;
+    }
+
     HeaderCodec headerCodec() {
         return headerCodec;
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
@@ -31,6 +31,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.lovagethread.gateway.policy.SilenceTimeouts;
 
 /**
  * An HTTP client with a connection pool for short requests to the platform and to peers. Each request has a timeout.
@@ -40,9 +41,6 @@
 public final class PooledHttpClient {
     private static final int CONNECT_TIMEOUT_MILLIS = 700;
 
-    /** Maximum idle time of connections that are reused, in milliseconds. */
-    private static final long MAX_IDLE_MILLIS = 2_500;
-
     /** Maximum time between two parts of a response, in milliseconds. */
     private static final long READ_TIMEOUT_MILLIS = 700;
 
@@ -57,15 +55,18 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final EventLoop loop;
+    private final long maxIdleMillis;
     private final Map<InetSocketAddress, Deque<Connection>> idle = new HashMap<>();
 
     /**
      * Creates a client.
      *
      * @param loop the gateway's event loop
+     * @param timeouts limits how long an idle connection is reused
      */
-    public PooledHttpClient(EventLoop loop) {
+    public PooledHttpClient(EventLoop loop, SilenceTimeouts timeouts) {
         this.loop = loop;
+        this.maxIdleMillis = timeouts.maxQuietMillis();
     }
 
     /**
@@ -122,6 +123,12 @@
         }
     }
 
+    /** Closes the idle connections to a server, since they may have gone silent with the one that has timed out. */
+    private void closeIdle(InetSocketAddress address) {
+        Optional.ofNullable(idle.remove(address))
+                .ifPresent(connections -> connections.forEach(connection -> connection.channel.close()));
+    }
+
     private void open(Request request, Consumer<Response> callback) {
         Connection connection = new Connection(request.address());
         var connecting = ClientBootstrap.create(loop, (int) Math.min(CONNECT_TIMEOUT_MILLIS, request.timeoutMillis()))
@@ -168,7 +175,7 @@
         }
 
         private boolean isUsable(long nowNanos) {
-            return channel.isActive() && nowNanos - idleSinceNanos < MAX_IDLE_MILLIS * NANOS_PER_MILLI;
+            return channel.isActive() && nowNanos - idleSinceNanos < maxIdleMillis * NANOS_PER_MILLI;
         }
 
         private void startRequest(Request newRequest, Consumer<Response> newCallback) {
@@ -209,6 +216,7 @@
             if (callback != null && receiving && now < responseDeadlineNanos) {
                 timeout = loop.schedule(this::onTimeout, READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             } else if (callback != null) {
+                closeIdle(address);
                 fail();
             }
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -268,7 +268,7 @@
         channel.config().setAutoRead(true);
         if (isUsable()) {
             idleSinceMillis = now;
-            idleDeadlineMillis = now + keepAliveMillis;
+            idleDeadlineMillis = now + Math.min(keepAliveMillis, client.maxIdleMillis());
             returningToPool = true;
         } else {
             channel.close();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -20,6 +20,7 @@
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.log.LogRateLimiter;
+import org.lovagethread.gateway.policy.SilenceTimeouts;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 import org.lovagethread.wire.generated.UpstreamListing;
@@ -31,8 +32,10 @@
  * <p>The version of the configuration never decreases during the lifetime of the process.
  */
 public final class StateSync {
-    private static final KindWatcher.Timing CONFIGURATION_TIMING = new KindWatcher.Timing(5_000, 60, 400);
-    private static final KindWatcher.Timing UPSTREAM_TIMING = new KindWatcher.Timing(5_000, 250, 1_600);
+    private static final long CONFIGURATION_BATCH_DELAY_MILLIS = 60;
+    private static final long MAX_CONFIGURATION_RETRY_DELAY_MILLIS = 400;
+    private static final long UPSTREAM_BATCH_DELAY_MILLIS = 250;
+    private static final long MAX_UPSTREAM_RETRY_DELAY_MILLIS = 1_600;
 
     /** Time after the last call beyond which its outcome says nothing about the store, in milliseconds. */
     private static final long CALL_OUTCOME_TTL_MILLIS = 4_000;
@@ -72,6 +75,7 @@
      * @param decoder decodes configurations and upstream entries
      * @param upstreamTable the table that receives the upstreams
      * @param scheduler provides the current time and runs delayed calls
+     * @param timeouts limits how long a watch may wait for changes
      * @param log the log for changes of the synchronized state
      */
     public StateSync(
@@ -79,15 +83,28 @@
             ConfigurationDecoder decoder,
             UpstreamTable upstreamTable,
             Scheduler scheduler,
+            SilenceTimeouts timeouts,
             EventLog log) {
         this.scheduler = scheduler;
         this.decoder = decoder;
         this.upstreamTable = upstreamTable;
         this.log = log;
         this.configurationWatcher = new KindWatcher(
-                store, ObjectKind.CONFIGURATION, CONFIGURATION_TIMING, scheduler, new ConfigurationObserver());
-        this.upstreamWatcher =
-                new KindWatcher(store, ObjectKind.UPSTREAMS, UPSTREAM_TIMING, scheduler, new UpstreamObserver());
+                store,
+                ObjectKind.CONFIGURATION,
+                new KindWatcher.Timing(
+                        timeouts.maxQuietMillis(),
+                        CONFIGURATION_BATCH_DELAY_MILLIS,
+                        MAX_CONFIGURATION_RETRY_DELAY_MILLIS),
+                scheduler,
+                new ConfigurationObserver());
+        this.upstreamWatcher = new KindWatcher(
+                store,
+                ObjectKind.UPSTREAMS,
+                new KindWatcher.Timing(
+                        timeouts.maxQuietMillis(), UPSTREAM_BATCH_DELAY_MILLIS, MAX_UPSTREAM_RETRY_DELAY_MILLIS),
+                scheduler,
+                new UpstreamObserver());
     }
 
     /** Starts to watch the store. */
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -37,6 +37,7 @@
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.config.ClientLimits;
 import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.policy.SilenceTimeouts;
 import org.lovagethread.gateway.store.FakeStore;
 
 class CallerChannelHandlerTest {
@@ -68,7 +69,8 @@
                 address,
                 1,
                 List.of(),
-                new GatewaySettings.Bounds(10_000, 0.2, 52, 10_000, 0.1, 100, 5_000, 5_000, 2_000, 2_000));
+                new GatewaySettings.Bounds(
+                        10_000, 0.2, 52, 10_000, 0.1, 100, 5_000, 5_000, 2_000, 2_000, new SilenceTimeouts(4_000)));
     }
 
     @BeforeEach
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
@@ -22,11 +22,13 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lovagethread.gateway.config.RouteKind;
+import org.lovagethread.gateway.policy.SilenceTimeouts;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 /** Checks that bytes without end are given up, whether they arrive in a head, in a body or instead of a response. */
 class EndlessResponseTest {
     private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long MAX_IDLE_MILLIS = 4_000;
     private static final long MAX_BYTES = 64 * 1024 * 1024;
     private static final long REQUEST_TIMEOUT_MILLIS = 300;
 
@@ -45,7 +47,8 @@
 
         private void assertGivenUp(String first, String repeated) throws Exception {
             try (EndlessServer server = new EndlessServer(first, repeated)) {
-                NettyUpstreamClient client = new NettyUpstreamClient(loop, context, System::currentTimeMillis);
+                NettyUpstreamClient client =
+                        new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS);
                 loop.execute(() -> send(client, server.address()));
                 assertThat(failure.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isNotEmpty();
                 assertThat(server.awaitClosedByClient(TIMEOUT_MILLIS)).isTrue();
@@ -154,7 +157,7 @@
     class OfPlatformOrPeer {
         private void assertGivenUp(String first, String repeated) throws Exception {
             try (EndlessServer server = new EndlessServer(first, repeated)) {
-                PooledHttpClient client = new PooledHttpClient(loop);
+                PooledHttpClient client = new PooledHttpClient(loop, new SilenceTimeouts(4_000));
                 CompletableFuture<PooledHttpClient.Response> response = new CompletableFuture<>();
                 PooledHttpClient.Request request = new PooledHttpClient.Request(
                         server.address(), HttpMethod.GET, "/x", Map.of(), ByteString.EMPTY, REQUEST_TIMEOUT_MILLIS);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/GatewayTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/GatewayTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.policy.SilenceTimeouts;
 import org.lovagethread.gateway.store.FakeStore;
 
 class GatewayTest {
@@ -23,8 +24,8 @@
 
     private static GatewaySettings settings() {
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        GatewaySettings.Bounds bounds =
-                new GatewaySettings.Bounds(2_000, 0.2, 52, 10_000, 0, 0, 3_000, 5_000, 10_000, 5_000);
+        GatewaySettings.Bounds bounds = new GatewaySettings.Bounds(
+                2_000, 0.2, 52, 10_000, 0, 0, 3_000, 5_000, 10_000, 5_000, new SilenceTimeouts(4_000));
         return new GatewaySettings(
                 "g", "127.0.0.1", "a", Map.of("a", "r"), anyPort, anyPort, anyPort, 0, anyPort, 100, List.of(), bounds);
     }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
@@ -12,15 +12,17 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.lovagethread.gateway.policy.SilenceTimeouts;
 
 class PooledHttpClientTest {
     private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long SHORT_TIMEOUT_MILLIS = 500;
     private static final String STALE = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
     private static final String FRESH = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final PooledHttpClient client = new PooledHttpClient(loop);
+    private final PooledHttpClient client = new PooledHttpClient(loop, new SilenceTimeouts(4_000));
 
     @AfterEach
     void stop() {
@@ -28,8 +30,12 @@
     }
 
     private static PooledHttpClient.Request request(ScriptedServer server) {
+        return request(server, TIMEOUT_MILLIS);
+    }
+
+    private static PooledHttpClient.Request request(ScriptedServer server, long timeoutMillis) {
         return new PooledHttpClient.Request(
-                server.address(), HttpMethod.GET, "/x", Map.of(), ByteString.EMPTY, TIMEOUT_MILLIS);
+                server.address(), HttpMethod.GET, "/x", Map.of(), ByteString.EMPTY, timeoutMillis);
     }
 
     private static ScriptedServer startServer(String firstResponse) throws IOException {
@@ -59,6 +65,30 @@
         }
     }
 
+    // After connections had gone silent, each of them was tried in turn until its call timed out.
+    @Test
+    void closesIdleConnectionsIfOneHasGoneSilent() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(
+                (connection, request) -> ScriptedServer.Reply.keep(connection <= 2 && request > 1 ? "" : FRESH))) {
+            CompletableFuture<Integer> first = new CompletableFuture<>();
+            CompletableFuture<Integer> second = new CompletableFuture<>();
+            loop.execute(() -> {
+                client.send(request(server), response -> first.complete(response.status()));
+                client.send(request(server), response -> second.complete(response.status()));
+            });
+            assertThat(first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo(200);
+            assertThat(second.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo(200);
+            CompletableFuture<Integer> afterSilence = new CompletableFuture<>();
+            loop.execute(() -> client.send(
+                    request(server, SHORT_TIMEOUT_MILLIS),
+                    silent -> client.send(
+                            request(server, SHORT_TIMEOUT_MILLIS),
+                            response -> afterSilence.complete(response.status()))));
+            assertThat(afterSilence.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo(200);
+            assertThat(server.connections()).isEqualTo(3);
+        }
+    }
+
     @Test
     void reusesConnectionForRequestSentByCallback() throws Exception {
         try (ScriptedServer server = startServer(FRESH)) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -20,6 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -29,6 +30,7 @@
 
 class UpstreamConnectionTest {
     private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long MAX_IDLE_MILLIS = 4_000;
     private static final String REFUSAL = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n";
     private static final String SUCCESS = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
 
@@ -97,7 +99,7 @@
     @Nested
     class Attribution {
         private final NettyUpstreamClient client =
-                new NettyUpstreamClient(new DefaultEventLoop(), context, System::currentTimeMillis);
+                new NettyUpstreamClient(new DefaultEventLoop(), context, System::currentTimeMillis, MAX_IDLE_MILLIS);
         private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
         private final UpstreamConnection connection = new UpstreamConnection(client, "i-1", decoder);
         private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
@@ -205,7 +207,8 @@
     class Reuse {
         private final NioEventLoopGroup group = new NioEventLoopGroup(1);
         private final EventLoop loop = group.next();
-        private final NettyUpstreamClient client = new NettyUpstreamClient(loop, context, System::currentTimeMillis);
+        private final NettyUpstreamClient client =
+                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS);
 
         @AfterEach
         void stop() {
@@ -244,6 +247,24 @@
             }
         }
 
+        @Test
+        void endsWhenAConnectionMayHaveGoneSilent() throws Exception {
+            AtomicLong now = new AtomicLong();
+            NettyUpstreamClient timedClient = new NettyUpstreamClient(loop, context, now::get, MAX_IDLE_MILLIS);
+            ScriptedServer.Script script = (connection, request) -> ScriptedServer.Reply.keep(
+                    withId(SUCCESS + "Keep-Alive: timeout=60\r\n", connection == 1 ? "a" : "b") + "ok");
+            try (ScriptedServer server = new ScriptedServer(script)) {
+                RecordingListener first = new RecordingListener();
+                loop.execute(() -> send(timedClient, server, "a", first));
+                first.outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                now.addAndGet(MAX_IDLE_MILLIS);
+                RecordingListener second = new RecordingListener();
+                loop.execute(() -> send(timedClient, server, "b", second));
+                second.outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                assertThat(server.connections()).isEqualTo(2);
+            }
+        }
+
         // Bytes behind a response were joined with the head of the next one, so a request that had run was sent again.
         @ParameterizedTest
         @ValueSource(
@@ -295,7 +316,8 @@
     class Endings {
         private final NioEventLoopGroup group = new NioEventLoopGroup(1);
         private final EventLoop loop = group.next();
-        private final NettyUpstreamClient client = new NettyUpstreamClient(loop, context, System::currentTimeMillis);
+        private final NettyUpstreamClient client =
+                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS);
 
         @AfterEach
         void stop() {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/GatewayRegistryTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/peer/GatewayRegistryTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.policy.SilenceTimeouts;
 import org.lovagethread.gateway.store.FakeStore;
 import org.lovagethread.gateway.store.ObjectKind;
 import org.lovagethread.gateway.store.Scheduler;
@@ -41,7 +42,7 @@
                     UNUSED_ADDRESS,
                     75,
                     List.of(),
-                    new GatewaySettings.Bounds(0, 0, 0, 1, 0, 0, 0, 1, 0, 0));
+                    new GatewaySettings.Bounds(0, 0, 0, 1, 0, 0, 0, 1, 0, 0, new SilenceTimeouts(4_000)));
             EventLog log = new EventLog(node, new ByteArrayOutputStream());
             peers = new PeerTable(host, "a", 75);
             registry = new GatewayRegistry(store, settings, peers, this, () -> false, log);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
@@ -22,6 +22,7 @@
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.config.RouteTable;
 import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.policy.SilenceTimeouts;
 import org.lovagethread.gateway.store.ObjectStore.Change;
 import org.lovagethread.gateway.store.ObjectStore.Changes;
 import org.lovagethread.gateway.store.ObjectStore.Page;
@@ -38,7 +39,7 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final ByteArrayOutputStream logText = new ByteArrayOutputStream();
     private final EventLog log = new EventLog("node", logText);
-    private final StateSync sync = new StateSync(store, this, upstreams, this, log);
+    private final StateSync sync = new StateSync(store, this, upstreams, this, new SilenceTimeouts(4_000), log);
     private long now = 10_000;
 
     /** Captures the last call of each kind, to which a test then replies. */
