Blame the prompt part that crashes engines also among few parts

Cause: a crash was weighed only by the share of all known parts that were unanswered at it. With eight parts a crash added 0.69 of the 14 that were required. Plays with 200 documents pass, those with 1 to 20 fail, with the same exchange of evidence; so neither its delay nor a wrong exoneration is the cause.

Change: PromptBlame bounds the chance of a coincidence also by the share of the upstreams that crash at the time, and by how often an upstream crashes within the time for which a request waits. The required odds grow with the number of parts, and the assumed share of a cause follows the crashes seen, where it is at least a half.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -354,7 +354,12 @@
             long now = context.nowMillis();
             attempt.upstream.failureDetector().recordOutcome(false, now);
             context.promptQuarantine()
-                    .recordBreak(attempt.upstream.entry(), attributes.prefix(), attempt.firstEventReceived, now);
+                    .recordBreak(
+                            attempt.upstream.entry(),
+                            attributes.prefix(),
+                            attempt.firstEventReceived,
+                            attempt.sentMillis,
+                            now);
             onAttemptFailed(AttemptOutcome.BROKEN, reason, now);
         }
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PromptEvidenceCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PromptEvidenceCodec.java
@@ -33,7 +33,8 @@
                         .setId(id)
                         .setAgeMillis(nowMillis - crash.atMillis())
                         .setServiceHash(crash.serviceHash())
-                        .setUnansweredParts(crash.unansweredParts())));
+                        .setUnansweredParts(crash.unansweredParts())
+                        .setLongestWaitMillis(crash.longestWaitMillis())));
         evidence.suspects()
                 .forEach((part, crashes) -> message.addSuspects(
                         SuspectedPart.newBuilder().setPart(part).addAllCrashes(crashes)));
@@ -60,7 +61,13 @@
         for (UpstreamCrash crash : message.getCrashesList()) {
             long atMillis = nowMillis - Math.max(0, crash.getAgeMillis());
             evidence.crashes()
-                    .put(crash.getId(), new CrashTime(atMillis, crash.getServiceHash(), crash.getUnansweredParts()));
+                    .put(
+                            crash.getId(),
+                            new CrashTime(
+                                    atMillis,
+                                    crash.getServiceHash(),
+                                    crash.getUnansweredParts(),
+                                    Math.max(0, crash.getLongestWaitMillis())));
         }
         for (SuspectedPart suspect : message.getSuspectsList()) {
             evidence.suspects().put(suspect.getPart(), new HashSet<>(suspect.getCrashesList()));
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrashLog.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrashLog.java
@@ -41,6 +41,7 @@
         private final Set<String> exoneratedParts = new HashSet<>();
         private int brokenRequests;
         private int unansweredRequests;
+        private long longestWaitMillis;
         private boolean reported;
         private boolean refuted;
 
@@ -94,6 +95,15 @@
             return unansweredRequests;
         }
 
+        /**
+         * Returns how long the oldest of the requests that had received no event had waited.
+         *
+         * @return the time in milliseconds
+         */
+        public long longestWaitMillis() {
+            return longestWaitMillis;
+        }
+
         /**
          * Returns the shared prompt parts of the requests that had received no event.
          *
@@ -123,8 +133,9 @@
             return refuted;
         }
 
-        private void addUnanswered(PromptPrefix prefix) {
+        private void addUnanswered(PromptPrefix prefix, long waitedMillis) {
             unansweredRequests++;
+            longestWaitMillis = Math.max(longestWaitMillis, waitedMillis);
             for (PromptPrefix.Part part : prefix.sharedParts()) {
                 if (unansweredParts.size() < MAX_PARTS_PER_CRASH) {
                     unansweredParts.add(part.id());
@@ -157,9 +168,11 @@
      * @param upstream the upstream
      * @param prefix the parts of the prompt
      * @param answered whether the request had received an event
+     * @param sentMillis when the request was sent, in milliseconds
      * @param nowMillis the current time in milliseconds
      */
-    public void recordBreak(UpstreamEntry upstream, PromptPrefix prefix, boolean answered, long nowMillis) {
+    public void recordBreak(
+            UpstreamEntry upstream, PromptPrefix prefix, boolean answered, long sentMillis, long nowMillis) {
         Crash crash = byId.get(idOf(upstream));
         if (crash == null || crash.refuted) {
             byId.remove(idOf(upstream));
@@ -169,7 +182,7 @@
         }
         crash.brokenRequests++;
         if (!answered) {
-            crash.addUnanswered(prefix);
+            crash.addUnanswered(prefix, nowMillis - sentMillis);
         }
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptBlame.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptBlame.java
@@ -4,9 +4,12 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.lovagethread.gateway.policy.PromptEvidence.CrashTime;
+import org.lovagethread.gateway.upstream.Upstream;
+import org.lovagethread.gateway.upstream.UpstreamTable;
 
 /**
  * Decides which prompt part the crashes of upstreams are due to.
@@ -28,17 +31,18 @@
     /** Minimum time from the first crash to the decision, in which first events are reported, in milliseconds. */
     private static final long MIN_OBSERVATION_MILLIS = 1_000;
 
-    /** Share of the crashes at which a part that causes crashes is assumed to be unanswered. */
-    private static final double CAUSE_SHARE = 0.5;
+    /** Minimum share of the crashes at which a part that causes crashes is assumed to be unanswered. */
+    private static final double MIN_CAUSE_SHARE = 0.5;
 
     /** Maximum share of the crashes at which a part that causes none is assumed to be unanswered. */
     private static final double MAX_CHANCE_SHARE = 0.99;
 
-    /** Minimum logarithm of the likelihood ratio for which a part is blamed. */
-    private static final double MIN_LOG_LIKELIHOOD_RATIO = 14;
+    /** Logarithm of the minimum odds against blaming any sound part, of all that are known. */
+    private static final double MIN_LOG_ODDS = 8.7;
 
     private final PromptEvidence evidence;
     private final FirstEventLog localFirstEvents;
+    private final UpstreamTable upstreams;
     private final Set<Integer> explained = new HashSet<>();
     private final Set<String> blamed = new HashSet<>();
 
@@ -52,9 +56,14 @@
      */
     record Suspect(String part, List<Integer> crashIds, long sinceMillis, int episodes) {}
 
-    PromptBlame(PromptEvidence evidence, FirstEventLog localFirstEvents, Set<String> alreadyBlamed) {
+    PromptBlame(
+            PromptEvidence evidence,
+            FirstEventLog localFirstEvents,
+            UpstreamTable upstreams,
+            Set<String> alreadyBlamed) {
         this.evidence = evidence;
         this.localFirstEvents = localFirstEvents;
+        this.upstreams = upstreams;
         alreadyBlamed.forEach(this::blame);
     }
 
@@ -107,32 +116,70 @@
     private boolean isToBlame(Suspect suspect, long nowMillis) {
         return suspect.episodes() >= MIN_EPISODES
                 && nowMillis - suspect.sinceMillis() >= MIN_OBSERVATION_MILLIS
-                && logLikelihoodRatio(suspect) >= MIN_LOG_LIKELIHOOD_RATIO
+                && logLikelihoodRatio(suspect, nowMillis) >= MIN_LOG_ODDS + Math.log(knownParts())
                 && suspect.crashIds().stream()
                         .allMatch(id -> localFirstEvents.isAnswering(
                                 evidence.crashes().get(id).serviceHash(), suspect.sinceMillis()));
     }
 
     /**
-     * Compares how likely the crashes are if the part causes crashes and if they meet parts by chance. By chance a part is
-     * unanswered at a crash the more often, the more of all parts are.
+     * Compares how likely the crashes are if the part causes crashes and if they meet parts by chance. A cause is assumed to
+     * be at the share of the crashes at which the part was seen, if that is most of them.
      */
-    private double logLikelihoodRatio(Suspect suspect) {
-        double parts = localFirstEvents.parts() + evidence.suspects().size();
+    private double logLikelihoodRatio(Suspect suspect, long nowMillis) {
+        List<Map.Entry<Integer, CrashTime>> crashes = evidence.crashes().entrySet().stream()
+                .filter(entry -> entry.getValue().atMillis() >= suspect.sinceMillis())
+                .filter(entry -> !explained.contains(entry.getKey()))
+                .toList();
+        double causeShare = Math.max(MIN_CAUSE_SHARE, (suspect.crashIds().size() + 1.0) / (crashes.size() + 2.0));
         double sum = 0;
-        for (var entry : evidence.crashes().entrySet()) {
-            CrashTime crash = entry.getValue();
-            if (crash.atMillis() < suspect.sinceMillis() || explained.contains(entry.getKey())) {
-                continue;
-            }
-            double chanceShare = Math.min(MAX_CHANCE_SHARE, Math.max(1, crash.unansweredParts()) / parts);
+        for (var entry : crashes) {
+            double chanceShare = chanceShare(entry.getValue(), suspect.sinceMillis(), nowMillis);
             sum += suspect.crashIds().contains(entry.getKey())
-                    ? Math.log(CAUSE_SHARE / chanceShare)
-                    : Math.log((1 - CAUSE_SHARE) / (1 - chanceShare));
+                    ? Math.log(causeShare / chanceShare)
+                    : Math.log((1 - causeShare) / (1 - chanceShare));
         }
         return sum;
     }
 
+    /**
+     * Returns how likely it is that a part that causes no crashes is unanswered at a crash. Each of three estimates bounds
+     * it: other parts are unanswered there, too; the upstream that crashes need not be the one that has the request; and an
+     * upstream need not crash just in the time for which a request waits.
+     */
+    private double chanceShare(CrashTime crash, long sinceMillis, long nowMillis) {
+        double shareOfParts = Math.max(1, crash.unansweredParts()) / knownParts();
+        double running = runningUpstreams(crash.serviceHash());
+        double crashing =
+                crashes(crash.serviceHash(), crash.atMillis() - EPISODE_MILLIS, crash.atMillis() + EPISODE_MILLIS);
+        double shareOfUpstreams = crashing / (crashing + running);
+        double crashesPerMilli = crashes(crash.serviceHash(), sinceMillis, nowMillis)
+                / (Math.max(1, running) * Math.max(MIN_OBSERVATION_MILLIS, nowMillis - sinceMillis));
+        double shareOfWaits =
+                crash.longestWaitMillis() > 0 ? 1 - Math.exp(-crashesPerMilli * crash.longestWaitMillis()) : 1;
+        return Math.min(MAX_CHANCE_SHARE, Math.min(shareOfParts, Math.min(shareOfUpstreams, shareOfWaits)));
+    }
+
+    private long crashes(int serviceHash, long fromMillis, long toMillis) {
+        return evidence.crashes().values().stream()
+                .filter(crash -> crash.serviceHash() == serviceHash
+                        && crash.atMillis() >= fromMillis
+                        && crash.atMillis() <= toMillis)
+                .count();
+    }
+
+    private long runningUpstreams(int serviceHash) {
+        return upstreams.all().stream()
+                .map(Upstream::entry)
+                .filter(entry -> entry.service().hashCode() == serviceHash
+                        && !evidence.crashes().containsKey(CrashLog.idOf(entry)))
+                .count();
+    }
+
+    private double knownParts() {
+        return localFirstEvents.parts() + evidence.suspects().size();
+    }
+
     private Suspect suspect(String part) {
         long answeredMillis = latestFirstEvent(part, evidence, localFirstEvents);
         List<Integer> crashIds = evidence.suspects().get(part).stream()
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptEvidence.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptEvidence.java
@@ -31,11 +31,15 @@
      * @param atMillis when its first connection broke, in milliseconds
      * @param serviceHash the hash code of the name of its service
      * @param unansweredParts the number of prompt parts in requests that had received no event
+     * @param longestWaitMillis the longest time for which such a request had waited, in milliseconds; zero if unknown
      */
-    public record CrashTime(long atMillis, int serviceHash, int unansweredParts) {
+    public record CrashTime(long atMillis, int serviceHash, int unansweredParts, long longestWaitMillis) {
         private CrashTime plus(CrashTime other) {
             return new CrashTime(
-                    Math.min(atMillis, other.atMillis), serviceHash, unansweredParts + other.unansweredParts);
+                    Math.min(atMillis, other.atMillis),
+                    serviceHash,
+                    unansweredParts + other.unansweredParts,
+                    Math.max(longestWaitMillis, other.longestWaitMillis));
         }
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptQuarantine.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptQuarantine.java
@@ -94,10 +94,12 @@
      * @param upstream the upstream
      * @param prefix the parts of the prompt
      * @param answered whether the request had received an event
+     * @param sentMillis when the request was sent, in milliseconds
      * @param nowMillis the current time in milliseconds
      */
-    public void recordBreak(UpstreamEntry upstream, PromptPrefix prefix, boolean answered, long nowMillis) {
-        crashLog.recordBreak(upstream, prefix, answered, nowMillis);
+    public void recordBreak(
+            UpstreamEntry upstream, PromptPrefix prefix, boolean answered, long sentMillis, long nowMillis) {
+        crashLog.recordBreak(upstream, prefix, answered, sentMillis, nowMillis);
     }
 
     /**
@@ -200,7 +202,7 @@
         localQuarantines.entrySet().removeIf(entry -> isVoid(entry.getKey(), entry.getValue()));
         Map<String, Quarantine> newlyActive = new HashMap<>(total.quarantines());
         newlyActive.entrySet().removeIf(entry -> isVoid(entry.getKey(), entry.getValue()));
-        PromptBlame blame = new PromptBlame(total, firstEvents, newlyActive.keySet());
+        PromptBlame blame = new PromptBlame(total, firstEvents, upstreams, newlyActive.keySet());
         for (PromptBlame.Suspect suspect : blame.blame(nowMillis)) {
             Quarantine quarantine = new Quarantine(suspect.sinceMillis(), nowMillis + QUARANTINE_MILLIS);
             localQuarantines.put(suspect.part(), quarantine);
@@ -272,7 +274,8 @@
                             new CrashTime(
                                     crash.atMillis(),
                                     crash.upstream().service().hashCode(),
-                                    crash.unansweredParts().size()));
+                                    crash.unansweredParts().size(),
+                                    crash.longestWaitMillis()));
             crash.suspectedParts().forEach(part -> local.suspects()
                     .computeIfAbsent(part, key -> new HashSet<>())
                     .add(crash.id()));
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/CrashEmulation.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/CrashEmulation.java
@@ -24,8 +24,6 @@
     static final double CONTACT_MILLIS = 4_000;
     private static final String SERVICE = "pool";
     private static final int GATEWAYS = 6;
-    private static final int ENGINES = 12;
-    private static final int DOCUMENTS = 200;
     private static final int MAX_UPSTREAMS = 2;
     private static final double CALLER_RETRY_MILLIS = 150;
     private static final double EVALUATION_INTERVAL_MILLIS = 100;
@@ -55,6 +53,8 @@
      * @param deadlyShare the share of the requests that contain one of them
      * @param deadlyStartMillis when the first such request arrives, in milliseconds
      * @param downMillis the time for which a crashed engine is down, in milliseconds
+     * @param engines the number of engines
+     * @param documents the number of documents, of which each sound prompt contains one
      */
     record Scenario(
             double requestsPerSecond,
@@ -62,7 +62,30 @@
             int deadlyParts,
             double deadlyShare,
             double deadlyStartMillis,
-            double downMillis) {}
+            double downMillis,
+            int engines,
+            int documents) {
+        private static final int ENGINES = 12;
+        private static final int DOCUMENTS = 200;
+
+        Scenario(
+                double requestsPerSecond,
+                double promptMillis,
+                int deadlyParts,
+                double deadlyShare,
+                double deadlyStartMillis,
+                double downMillis) {
+            this(
+                    requestsPerSecond,
+                    promptMillis,
+                    deadlyParts,
+                    deadlyShare,
+                    deadlyStartMillis,
+                    downMillis,
+                    ENGINES,
+                    DOCUMENTS);
+        }
+    }
 
     /**
      * A sound request.
@@ -103,7 +126,7 @@
     CrashEmulation(Scenario scenario, long seed) {
         this.scenario = scenario;
         this.random = new Random(seed);
-        this.engines = IntStream.range(0, ENGINES)
+        this.engines = IntStream.range(0, scenario.engines())
                 .mapToObj(index -> new CrashingEngine(index, SERVICE, clock))
                 .toList();
         for (int i = 0; i < GATEWAYS; i++) {
@@ -155,7 +178,8 @@
         String deadlyPart = deadly ? "deadly-" + random.nextInt(scenario.deadlyParts()) : "";
         List<PromptPrefix.Part> parts = new ArrayList<>();
         parts.add(new PromptPrefix.Part("instructions", 500));
-        parts.add(new PromptPrefix.Part("document-" + (int) (DOCUMENTS * Math.pow(random.nextDouble(), 2)), 4_000));
+        parts.add(new PromptPrefix.Part(
+                "document-" + (int) (scenario.documents() * Math.pow(random.nextDouble(), 2)), 4_000));
         if (!deadlyPart.isEmpty()) {
             parts.add(random.nextInt(parts.size() + 1), new PromptPrefix.Part(deadlyPart, 300));
         }
@@ -185,6 +209,7 @@
             record(deadlyArrivalMillis, request);
         }
         Attempt[] attempt = new Attempt[1];
+        double sentMillis = clock.nowMillis();
         Runnable cancel = engine.submit(
                 request.prefix,
                 request.promptMillis,
@@ -209,7 +234,7 @@
                         gateway.upstreams
                                 .find(engine.entry().id())
                                 .ifPresent(known -> gateway.quarantine.recordBreak(
-                                        known.entry(), request.prefix, answered, nowMillis()));
+                                        known.entry(), request.prefix, answered, (long) sentMillis, nowMillis()));
                         if (!answered) {
                             retry(gateway, request, number);
                         }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/QueryOfDeathTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/QueryOfDeathTest.java
@@ -39,8 +39,16 @@
     }
 
     private static CrashEmulation playOtherCrashes(long seed, double requestsPerSecond, int engines, double gapMillis) {
-        CrashEmulation emulation = new CrashEmulation(
-                new CrashEmulation.Scenario(requestsPerSecond, 60, 1, 0, Double.MAX_VALUE, 3_000), seed);
+        return playOtherCrashes(
+                new CrashEmulation.Scenario(requestsPerSecond, 60, 1, 0, Double.MAX_VALUE, 3_000),
+                seed,
+                engines,
+                gapMillis);
+    }
+
+    private static CrashEmulation playOtherCrashes(
+            CrashEmulation.Scenario scenario, long seed, int engines, double gapMillis) {
+        CrashEmulation emulation = new CrashEmulation(scenario, seed);
         for (double atMillis = START_MILLIS; atMillis < END_MILLIS; atMillis += gapMillis) {
             emulation.clock().schedule(atMillis, () -> emulation.crashEngines(engines, 3_000));
         }
@@ -57,8 +65,26 @@
         })
         void stopReachingEnginesAndSoundRequestsBeginAgain(
                 long seed, double deadlyShare, int deadlyParts, double downMillis) {
-            CrashEmulation emulation = new CrashEmulation(
+            assertStopped(
                     new CrashEmulation.Scenario(60, 60, deadlyParts, deadlyShare, START_MILLIS, downMillis), seed);
+        }
+
+        // The share of all parts that were unanswered at a crash said little where there are few parts.
+        @ParameterizedTest
+        @CsvSource({
+            "1, 25, 0.04, 9, 6", "2, 25, 0.04, 9, 6", "3, 25, 0.04, 9, 1", "4, 25, 0.04, 9, 20", "5, 25, 0.02, 6, 6",
+            "6, 25, 0.04, 6, 2", "7, 30, 0.1, 12, 6", "8, 30, 0.03, 12, 3", "9, 25, 0.01, 4, 6", "10, 60, 0.05, 12, 6"
+        })
+        void stopReachingEnginesOfServicesWithFewPrompts(
+                long seed, double requestsPerSecond, double deadlyShare, int engines, int documents) {
+            assertStopped(
+                    new CrashEmulation.Scenario(
+                            requestsPerSecond, 60, 1, deadlyShare, START_MILLIS, 3_000, engines, documents),
+                    seed);
+        }
+
+        private void assertStopped(CrashEmulation.Scenario scenario, long seed) {
+            CrashEmulation emulation = new CrashEmulation(scenario, seed);
             emulation.run(END_MILLIS);
             double boundMillis = 0;
             assertThat(emulation.deadlyCrashMillis).isNotEmpty();
@@ -105,6 +131,25 @@
             assertThat(playOtherCrashes(seed, 220, 2, 1_500).blamedParts).isEmpty();
         }
 
+        @ParameterizedTest
+        @CsvSource({
+            "1, 17, 9, 6, 1, 700", "2, 17, 9, 6, 3, 1500", "3, 10, 4, 6, 1, 700", "4, 10, 4, 2, 2, 1500",
+            "5, 30, 12, 6, 12, 3500", "6, 30, 12, 20, 1, 500", "7, 5, 9, 6, 1, 700", "8, 5, 4, 6, 1, 1000",
+            "9, 100, 6, 6, 1, 700", "10, 3, 2, 6, 1, 2000"
+        })
+        void ofServicesWithFewPromptsAreBlamedOnNoPart(
+                long seed,
+                double requestsPerSecond,
+                int engines,
+                int documents,
+                int crashingEngines,
+                double gapMillis) {
+            CrashEmulation.Scenario scenario = new CrashEmulation.Scenario(
+                    requestsPerSecond, 60, 1, 0, Double.MAX_VALUE, 3_000, engines, documents);
+            assertThat(playOtherCrashes(scenario, seed, crashingEngines, gapMillis).blamedParts)
+                    .isEmpty();
+        }
+
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4})
         void ofConnectionsAloneAreBlamedOnNoPart(long seed) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -185,6 +185,7 @@
                         context.upstreams.find("i-" + i).orElseThrow().entry(),
                         context.prefix,
                         false,
+                        context.currentMillis,
                         context.currentMillis);
                 context.currentMillis += 400;
             }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceCodecTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceCodecTest.java
@@ -17,7 +17,7 @@
 
     private static PromptEvidence evidence(long offsetMillis) {
         return new PromptEvidence(
-                Map.of(-7, new CrashTime(offsetMillis + 1_000, 99, 3)),
+                Map.of(-7, new CrashTime(offsetMillis + 1_000, 99, 3, 60)),
                 Map.of("part", Set.of(-7, 12)),
                 Map.of("sound", offsetMillis + 1_200),
                 Map.of("deadly", new Quarantine(offsetMillis + 900, offsetMillis + 9_000)),
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/PromptQuarantineTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/PromptQuarantineTest.java
@@ -11,6 +11,7 @@
 class PromptQuarantineTest {
     private static final PromptPrefix DEADLY = PromptPrefix.parse("common:5,deadly:5,own:1");
     private static final int CRASHES = 8;
+    private static final long WAITED_MILLIS = 50;
 
     private final UpstreamTable upstreams = new UpstreamTable();
     private final PromptQuarantine first = new PromptQuarantine();
@@ -24,7 +25,7 @@
     private long crashUpstreams(PromptQuarantine quarantine, boolean othersAnswered) {
         long nowMillis = 1_000;
         for (int i = 0; i < CRASHES; i++) {
-            quarantine.recordBreak(upstream(i), DEADLY, false, nowMillis);
+            quarantine.recordBreak(upstream(i), DEADLY, false, nowMillis - WAITED_MILLIS, nowMillis);
             nowMillis += 300;
             for (int j = 0; othersAnswered && j < 10; j++) {
                 quarantine.recordFirstEvent(
