--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
-import org.lovagethread.gateway.policy.SilenceTimeouts;
 
 /**
  * Settings of a gateway.
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/SilenceTimeouts.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/SilenceTimeouts.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.policy;
+package org.lovagethread.gateway;
 
 /**
  * Decides how soon a gateway notices that open connections have gone silent, without a reset, while new ones work.
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
@@ -31,7 +31,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.lovagethread.gateway.policy.SilenceTimeouts;
+import org.lovagethread.gateway.SilenceTimeouts;
 
 /**
  * An HTTP client with a connection pool for short requests to the platform and to peers. Each request has a timeout.
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -35,9 +35,9 @@
 import org.junit.jupiter.api.Test;
 import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.GatewaySettings;
+import org.lovagethread.gateway.SilenceTimeouts;
 import org.lovagethread.gateway.config.ClientLimits;
 import org.lovagethread.gateway.log.EventLog;
-import org.lovagethread.gateway.policy.SilenceTimeouts;
 import org.lovagethread.gateway.store.FakeStore;
 
 class CallerChannelHandlerTest {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
@@ -21,8 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lovagethread.gateway.SilenceTimeouts;
 import org.lovagethread.gateway.config.RouteKind;
-import org.lovagethread.gateway.policy.SilenceTimeouts;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 /** Checks that bytes without end are given up, whether they arrive in a head, in a body or instead of a response. */
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/GatewayTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/GatewayTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lovagethread.gateway.GatewaySettings;
+import org.lovagethread.gateway.SilenceTimeouts;
 import org.lovagethread.gateway.log.EventLog;
-import org.lovagethread.gateway.policy.SilenceTimeouts;
 import org.lovagethread.gateway.store.FakeStore;
 
 class GatewayTest {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.lovagethread.gateway.policy.SilenceTimeouts;
+import org.lovagethread.gateway.SilenceTimeouts;
 
 class PooledHttpClientTest {
     private static final long TIMEOUT_MILLIS = 5_000;
