Count running upstreams once for each decision on prompt parts

Cause: read again as a newcomer, PromptBlame counted the upstreams of a service for each crash and each suspected part, ten times a second, which grows with the product of all three on large sites. ResponseDecoder also took a header with a protocol and an address ("Via: HTTP/1.1 203.0.113.9") for one that contains a status line.

Measured: QueryOfDeathTest, PromptQuarantineTest and UpstreamConnectionTest (one more case) pass; no time was measured.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ResponseDecoder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ResponseDecoder.java
@@ -23,7 +23,7 @@
  * the status line inside it.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(?: |$)");
 
     private boolean responseExpected;
     private boolean bodyExpected;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptBlame.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptBlame.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -43,6 +44,7 @@
     private final PromptEvidence evidence;
     private final FirstEventLog localFirstEvents;
     private final UpstreamTable upstreams;
+    private final Map<Integer, Long> runningUpstreams = new HashMap<>();
     private final Set<Integer> explained = new HashSet<>();
     private final Set<String> blamed = new HashSet<>();
 
@@ -149,7 +151,7 @@
      */
     private double chanceShare(CrashTime crash, long sinceMillis, long nowMillis) {
         double shareOfParts = Math.max(1, crash.unansweredParts()) / knownParts();
-        double running = runningUpstreams(crash.serviceHash());
+        double running = runningUpstreams.computeIfAbsent(crash.serviceHash(), this::countRunningUpstreams);
         double crashing =
                 crashes(crash.serviceHash(), crash.atMillis() - EPISODE_MILLIS, crash.atMillis() + EPISODE_MILLIS);
         double shareOfUpstreams = crashing / (crashing + running);
@@ -168,7 +170,7 @@
                 .count();
     }
 
-    private long runningUpstreams(int serviceHash) {
+    private long countRunningUpstreams(int serviceHash) {
         return upstreams.all().stream()
                 .map(Upstream::entry)
                 .filter(entry -> entry.service().hashCode() == serviceHash
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -303,6 +303,15 @@
             assertThat(response).isEqualTo("failed");
         }
 
+        @Test
+        void acceptsHeaderThatNamesAProtocolAndAnAddress() throws Exception {
+            String response = responseToLaterRequest(
+                    success("a"),
+                    (connection, request) ->
+                            ScriptedServer.Reply.keep(withId(SUCCESS + "Via: HTTP/1.1 203.0.113.9\r\n", "b") + "ok"));
+            assertThat(response).isEqualTo("200 ok");
+        }
+
         @Test
         void doesNotPassRefusalReceivedWithTheEndOfAResponseToTheNextRequest() throws Exception {
             String response = responseToRequestSentAtTheEndOf(withId(REFUSAL, "a") + REFUSAL + "\r\n", success("b"));
