Send nothing more to an upstream that says in a response that it leaves

Cause: only entries of the store and marks of peers made an upstream leaving. One that said so in its responses, before its entry changed, went on getting requests, retries and resumed streams.

Change: UpstreamConnection reads the notice of each response, also of those to other requests, before it does anything else with it. The existing leaving mark of the process is set at once, and sent to peers with the next state; a later entry of the same process does not take it back. A response of another server at the address (421) does not count; undefined values are counted and ignored.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -42,6 +42,8 @@
 import org.lovagethread.gateway.policy.ZoneTopology;
 import org.lovagethread.gateway.store.Scheduler;
 import org.lovagethread.gateway.store.StateSync;
+import org.lovagethread.gateway.upstream.LeavingMark;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 import org.lovagethread.wire.generated.GatewayDatagram;
 
@@ -134,7 +136,8 @@
                 loop,
                 ports.headerCodec(),
                 this::nowMillis,
-                bounds.silenceTimeouts().contactMillis());
+                bounds.silenceTimeouts().contactMillis(),
+                this::onLeavingNotice);
         this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
         this.peerExchange = new PeerExchange(this, httpClient);
         this.shutdown = new Shutdown(this, bounds);
@@ -184,6 +187,14 @@
         return (InetSocketAddress) callerListener.localAddress();
     }
 
+    /** Marks an upstream as leaving, which it has said in a response. Peers receive the mark with the next state. */
+    private void onLeavingNotice(UpstreamEntry upstream) {
+        LeavingMark mark = LeavingMark.announced(upstream);
+        if (upstreams.markLeaving(mark, UpstreamTable.LEAVING_MARK_MILLIS, nowMillis())) {
+            log.add(log.line("upstream-leaving").put("upstream", mark.text()).put("source", "response"));
+        }
+    }
+
     /** Returns whether this gateway may still process a request, which it may not if it is about to stop. */
     boolean accepts(AdmittedRequest request, long nowMillis) {
         return shutdown.accepts(request, nowMillis);
@@ -290,6 +301,7 @@
         metrics.setState("requests_in_progress", callerServer.activeRequests());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("buffered_response_bytes", responseMemory.totalBytes());
+        metrics.setState("malformed_leaving_notices", upstreamClient.malformedLeavingNotices());
         metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
         metrics.setState("upstream_connections_with_surplus_bytes", upstreamClient.connectionsWithSurplusBytes());
         return new SimpleHttpServer.Response(
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
@@ -23,6 +23,16 @@
     record AttemptAttributes(
             UpstreamEntry upstream, Optional<String> customer, long remainingMillis, int priority, long lastEventId) {}
 
+    /** What a response says about the shutdown of the upstream that sent it. */
+    enum LeavingNotice {
+        /** It says nothing. */
+        NONE,
+        /** The upstream is leaving. */
+        LEAVING,
+        /** The notice has a value that is not defined, which counts as none. */
+        MALFORMED
+    }
+
     /**
      * Reads the attributes of a request.
      *
@@ -48,6 +58,14 @@
      */
     boolean statesNotRun(HttpResponse response);
 
+    /**
+     * Returns whether a response announces that the addressed upstream is leaving.
+     *
+     * @param response the response header
+     * @return the notice; none if the response is from another upstream at the same address
+     */
+    LeavingNotice leavingNotice(HttpResponse response);
+
     /**
      * Returns whether callers take a status as the promise that their request has not been executed.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
@@ -15,12 +15,14 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
@@ -40,11 +42,19 @@
     private final HeaderCodec headerCodec;
     private final LongSupplier clock;
     private final long maxIdleMillis;
+    private final Consumer<UpstreamEntry> leavingListener;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long openedConnections;
     private long connectionsWithSurplusBytes;
-
-    NettyUpstreamClient(EventLoop loop, HeaderCodec headerCodec, LongSupplier clock, long maxIdleMillis) {
+    private long malformedLeavingNotices;
+
+    NettyUpstreamClient(
+            EventLoop loop,
+            HeaderCodec headerCodec,
+            LongSupplier clock,
+            long maxIdleMillis,
+            Consumer<UpstreamEntry> leavingListener) {
+        this.leavingListener = leavingListener;
         this.maxIdleMillis = maxIdleMillis;
         this.headerCodec = headerCodec;
         this.clock = clock;
@@ -102,6 +112,24 @@
         return connectionsWithSurplusBytes;
     }
 
+    /**
+     * Returns the number of responses whose leaving notice had an undefined value.
+     *
+     * @return the number of responses since the gateway was started
+     */
+    long malformedLeavingNotices() {
+        return malformedLeavingNotices;
+    }
+
+    /** Handles a leaving notice before anything else is done with the response that contains it. */
+    void readLeavingNotice(UpstreamEntry upstream, HttpResponse response) {
+        switch (headerCodec.leavingNotice(response)) {
+            case LEAVING -> leavingListener.accept(upstream);
+            case MALFORMED -> malformedLeavingNotices++;
+            case NONE -> {}
+        }
+    }
+
     void recordSurplusBytes() {
         connectionsWithSurplusBytes++;
     }
@@ -150,7 +178,7 @@
     private RequestHandle open(UpstreamEntry upstream, FullHttpRequest message, Listener listener) {
         openedConnections++;
         ResponseDecoder decoder = new ResponseDecoder(DECODER_CONFIG);
-        UpstreamConnection connection = new UpstreamConnection(this, upstream.id(), decoder);
+        UpstreamConnection connection = new UpstreamConnection(this, upstream, decoder);
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import org.lovagethread.gateway.http.UpstreamClient.Listener;
 import org.lovagethread.gateway.http.UpstreamClient.RequestHandle;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 /**
  * A connection to an upstream that carries one request at a time.
@@ -41,7 +42,7 @@
     private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
     private final NettyUpstreamClient client;
-    private final String upstreamId;
+    private final UpstreamEntry upstream;
     private final ResponseDecoder decoder;
     private Channel channel;
     private FullHttpRequest pendingRequest;
@@ -59,14 +60,14 @@
     private int requestGeneration;
     private boolean returningToPool;
 
-    UpstreamConnection(NettyUpstreamClient client, String upstreamId, ResponseDecoder decoder) {
+    UpstreamConnection(NettyUpstreamClient client, UpstreamEntry upstream, ResponseDecoder decoder) {
         this.client = client;
-        this.upstreamId = upstreamId;
+        this.upstream = upstream;
         this.decoder = decoder;
     }
 
     String upstreamId() {
-        return upstreamId;
+        return upstream.id();
     }
 
     long idleDeadlineMillis() {
@@ -197,6 +198,7 @@
     }
 
     private void onHeader(HttpResponse response) {
+        client.readLeavingNotice(upstream, response);
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational || belongsToAnotherRequest(response)) {
             skippingResponse = true;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
@@ -57,8 +57,8 @@
         /** Returns why the request failed; an empty string if its response was complete. */
         private String assertClosed(String first, String repeated) throws Exception {
             try (EndlessServer server = new EndlessServer(first, repeated)) {
-                NettyUpstreamClient client =
-                        new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS);
+                NettyUpstreamClient client = new NettyUpstreamClient(
+                        loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
                 loop.execute(() -> send(client, server.address()));
                 String reason = failure.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
                 assertThat(server.awaitClosedByClient(TIMEOUT_MILLIS)).isTrue();
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -40,6 +40,7 @@
 final class FakeExchangeContext implements ExchangeContext, HeaderCodec, UpstreamClient, ResponseWriter {
     static final String NOT_RUN = "not-run";
     static final String PROOF = "proof";
+    static final String LEAVING = "leaving";
 
     final List<FakeAttempt> attempts = new ArrayList<>();
     final StringBuilder streamedEvents = new StringBuilder();
@@ -170,6 +171,11 @@
         return response.headers().contains(NOT_RUN);
     }
 
+    @Override
+    public LeavingNotice leavingNotice(HttpResponse response) {
+        return response.headers().contains(LEAVING) ? LeavingNotice.LEAVING : LeavingNotice.NONE;
+    }
+
     @Override
     public boolean promisesNotRun(HttpResponseStatus status) {
         return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -18,6 +18,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -102,10 +104,13 @@
 
     @Nested
     class Attribution {
-        private final NettyUpstreamClient client =
-                new NettyUpstreamClient(new DefaultEventLoop(), context, System::currentTimeMillis, MAX_IDLE_MILLIS);
+        private final List<UpstreamEntry> leaving = new ArrayList<>();
+        private final UpstreamEntry upstream =
+                new UpstreamEntry("i-1", "desk", "10.0.0.1", 80, "a", 6, false, false, 1);
+        private final NettyUpstreamClient client = new NettyUpstreamClient(
+                new DefaultEventLoop(), context, System::currentTimeMillis, MAX_IDLE_MILLIS, leaving::add);
         private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
-        private final UpstreamConnection connection = new UpstreamConnection(client, "i-1", decoder);
+        private final UpstreamConnection connection = new UpstreamConnection(client, upstream, decoder);
         private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
 
         private FullHttpRequest request(String id) {
@@ -198,6 +203,28 @@
             assertThat(second.outcomeNow()).isEqualTo("failed");
         }
 
+        @Test
+        void readsLeavingNoticeBeforeTheResponseIsPassedOn() {
+            RecordingListener listener = new RecordingListener() {
+                @Override
+                public void onHeader(HttpResponse response) {
+                    assertThat(leaving).containsExactly(upstream);
+                    super.onHeader(response);
+                }
+            };
+            connection.prepare(channel, request("a"), listener);
+            connection.onConnected(true);
+            receive(withId(SUCCESS + "leaving: 1\r\n", "a") + "ok");
+            assertThat(listener.outcomeNow()).isEqualTo("200 ok");
+        }
+
+        @Test
+        void readsLeavingNoticeInResponseToAnotherRequest() {
+            sendFirst("b");
+            receive(withId(REFUSAL + "leaving: 1\r\n", "a"));
+            assertThat(leaving).containsExactly(upstream);
+        }
+
         @Test
         void closesConnectionIfBytesFollowTheResponse() {
             RecordingListener first = sendFirst("a");
@@ -212,7 +239,7 @@
         private final NioEventLoopGroup group = new NioEventLoopGroup(1);
         private final EventLoop loop = group.next();
         private final NettyUpstreamClient client =
-                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS);
+                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
 
         @AfterEach
         void stop() {
@@ -254,7 +281,8 @@
         @Test
         void endsWhenAConnectionMayHaveGoneSilent() throws Exception {
             AtomicLong now = new AtomicLong();
-            NettyUpstreamClient timedClient = new NettyUpstreamClient(loop, context, now::get, MAX_IDLE_MILLIS);
+            NettyUpstreamClient timedClient =
+                    new NettyUpstreamClient(loop, context, now::get, MAX_IDLE_MILLIS, upstream -> {});
             ScriptedServer.Script script = (connection, request) -> ScriptedServer.Reply.keep(
                     withId(SUCCESS + "Keep-Alive: timeout=60\r\n", connection == 1 ? "a" : "b") + "ok");
             try (ScriptedServer server = new ScriptedServer(script)) {
@@ -330,7 +358,7 @@
         private final NioEventLoopGroup group = new NioEventLoopGroup(1);
         private final EventLoop loop = group.next();
         private final NettyUpstreamClient client =
-                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS);
+                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
 
         @AfterEach
         void stop() {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/upstream/UpstreamTableTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/upstream/UpstreamTableTest.java
@@ -51,6 +51,28 @@
             assertThat(table.available("pool")).isEmpty();
         }
 
+        @Test
+        void ofAResponseOutlastsItsMarkAndLaterEntries() {
+            table.put(entry("i-1", false, 1), 1, 0);
+            LeavingMark mark = LeavingMark.announced(entry("i-1", false, 1));
+            assertThat(table.markLeaving(mark, UpstreamTable.LEAVING_MARK_MILLIS, 10))
+                    .isTrue();
+            long laterMillis = 3 * UpstreamTable.LEAVING_MARK_MILLIS;
+            table.expire(true, NEVER, laterMillis);
+            table.put(entry("i-1", false, 1), 9, laterMillis);
+            assertThat(table.available("pool")).isEmpty();
+        }
+
+        @Test
+        void ofAResponseDoesNotAffectAnotherUpstreamAtTheSameAddress() {
+            table.put(entry("i-1", false, 1), 1, 0);
+            table.markLeaving(LeavingMark.announced(entry("i-1", false, 1)), UpstreamTable.LEAVING_MARK_MILLIS, 10);
+            table.put(entry("i-2", false, 1), 2, 20);
+            assertThat(table.available("pool"))
+                    .extracting(upstream -> upstream.entry().id())
+                    .containsExactly("i-2");
+        }
+
         @Test
         void endsWhenProcessIsRestarted() {
             table.put(entry("i-1", true, 1), 1, 0);
