Split the selection of upstreams and the records of attempts from Exchange

Change: UpstreamSelector decides where the next attempt of a request goes or that it is refused; AttemptRecorder records what an attempt shows about its upstream. No decision changes.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -11,10 +11,7 @@
 import org.lovagethread.gateway.config.Customer;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.ServiceSpec;
-import org.lovagethread.gateway.engine.EngineModel;
-import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.AttemptOutcome;
-import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.upstream.Upstream;
@@ -52,6 +49,8 @@
     private final long deadlineMillis;
     private final Set<String> triedUpstreams = new HashSet<>();
     private final ExchangeRecord record;
+    private final AttemptRecorder recorder;
+    private final UpstreamSelector selector;
 
     private Attempt attempt;
     private Optional<Attempt> suspended = Optional.empty();
@@ -87,6 +86,8 @@
                         attributes.prefix(), attributes.promptTokens().orElse(0), attributes.maxOutputTokens())
                 : Placement.Demand.PLAIN;
         this.record = new ExchangeRecord(admitted, nowMillis);
+        this.recorder = new AttemptRecorder(context, admitted, demand);
+        this.selector = new UpstreamSelector(context, admitted, demand);
     }
 
     /** Starts the first attempt. */
@@ -151,7 +152,7 @@
         }
         if (!attempt.silenceRecorded) {
             attempt.silenceRecorded = true;
-            attempt.upstream.failureDetector().recordUnreachable(nowMillis, InactivityTimeout.AVOIDANCE_MILLIS);
+            recorder.recordUnreachable(attempt, nowMillis);
         }
         if (context.hasHealthyUpstream(service.name(), triedUpstreams, nowMillis)
                 && tryReserveRetry(AttemptOutcome.SILENT, possibleRuns + 1, nowMillis)) {
@@ -196,30 +197,15 @@
             giveUp(AttemptOutcome.NOT_SENT, "too little time left before the deadline", nowMillis);
             return;
         }
-        boolean trialAllowed = route.isRetryable() && attempts == 0;
-        Optional<Placement.Choice> choice = context.placement()
-                .choose(
-                        service,
-                        context.upstreams().available(service.name()),
-                        triedUpstreams,
-                        demand,
-                        trialAllowed,
-                        nowMillis);
-        if (choice.isEmpty()) {
+        UpstreamSelector.Selection selection = selector.select(triedUpstreams, remainingMillis, nowMillis);
+        if (selection instanceof UpstreamSelector.Send send) {
+            send(send.choice(), remainingMillis, nowMillis);
+        } else if (selection instanceof UpstreamSelector.Refuse refusal) {
+            record.recordPrediction(refusal.choice(), context.upstreamsRevision(), nowMillis);
+            refuse(ErrorKind.OVERLOADED, refusal.retryAfterMillis(), nowMillis);
+        } else {
             giveUp(AttemptOutcome.NOT_SENT, "no upstream available", nowMillis);
-            return;
-        }
-        Admission.Candidate candidate =
-                new Admission.Candidate(route, record.admitted().targetMillis(), remainingMillis);
-        if (attempts == 0 && !context.admission().admits(candidate, choice.get())) {
-            record.recordPrediction(choice.get(), context.upstreamsRevision(), nowMillis);
-            refuse(
-                    ErrorKind.OVERLOADED,
-                    context.retryAfterMillis(service.name(), candidate, choice.get(), nowMillis),
-                    nowMillis);
-            return;
         }
-        send(choice.get(), remainingMillis, nowMillis);
     }
 
     private void refuseQuarantined(long nowMillis) {
@@ -244,11 +230,7 @@
                 context.responseMemory(),
                 this::onEvicted);
         attempt = newAttempt;
-        upstream.load().recordStart(choice.unreadTokens(), newAttempt.memoryTokens);
-        if (service.engine().isPresent()) {
-            context.engineModels().of(service.name()).recordPrompt(choice.unreadTokens(), newAttempt.memoryTokens);
-        }
-        context.placement().recordSent(demand, upstream);
+        recorder.recordSent(newAttempt);
         record.recordAttempt(upstream.entry(), (long) choice.predictedLatencyMillis(), nowMillis);
         HttpHeaders headers = context.headerCodec()
                 .createUpstreamHeaders(
@@ -276,7 +258,7 @@
     public void onNotSent() {
         if (attempt != null) {
             long now = context.nowMillis();
-            attempt.upstream.failureDetector().recordUnreachable(now, InactivityTimeout.AVOIDANCE_MILLIS);
+            recorder.recordUnreachable(attempt, now);
             onAttemptFailed(AttemptOutcome.NOT_SENT, "no connection to the upstream", now);
         }
     }
@@ -322,7 +304,7 @@
         if (isEventStream()) {
             endStream(now);
         } else if (responses.statesNotRun(attempt.response)) {
-            attempt.upstream.failureDetector().recordOutcome(false, now);
+            recorder.recordRejection(attempt, now);
             onAttemptFailed(
                     AttemptOutcome.REJECTED,
                     "rejected with status " + attempt.response.status().code(),
@@ -332,7 +314,7 @@
         } else if (streamStarted || responses.isFailure(attempt.response)) {
             upstreamError = Optional.of(new BufferedResponse(attempt.response, attempt.buffered))
                     .filter(error -> !responses.promisesNotRun(error.response()));
-            attempt.upstream.failureDetector().recordOutcome(false, now);
+            recorder.recordFailure(attempt, now);
             onAttemptFailed(
                     AttemptOutcome.FAILED,
                     "responded with status " + attempt.response.status().code(),
@@ -347,22 +329,14 @@
         if (attempt != null) {
             attempt.responseEnded = true;
             long now = context.nowMillis();
-            attempt.upstream.failureDetector().recordOutcome(false, now);
-            context.promptQuarantine()
-                    .recordBreak(
-                            attempt.upstream.entry(),
-                            attributes.prefix(),
-                            attempt.firstEventReceived,
-                            attempt.sentMillis,
-                            now);
+            recorder.recordBreak(attempt, now);
             onAttemptFailed(AttemptOutcome.BROKEN, reason, now);
         }
     }
 
     private void forwardResponse(long nowMillis) {
         if (ResponseClassifier.isSuccess(attempt.response)) {
-            attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
-            attempt.upstream.recordResponseTime((double) (nowMillis - attempt.sentMillis));
+            recorder.recordSuccess(attempt, nowMillis);
         }
         recordUsage();
         caller.sendResponse(attempt.response.status(), attempt.response.headers(), attempt.buffered);
@@ -402,20 +376,10 @@
         endSuspended();
         attempt.firstEventReceived = true;
         attempt.firstEventMillis = nowMillis;
-        context.promptQuarantine().recordFirstEvent(service.name(), attributes.prefix(), nowMillis);
-        attempt.upstream.load().recordFirstEvent(attempt.choice.unreadTokens());
-        recordEngineSample(nowMillis - attempt.sentMillis);
+        recorder.recordFirstEvent(attempt, nowMillis);
         recordUsage();
     }
 
-    private void recordEngineSample(long millis) {
-        attempt.upstream.recordResponseTime((double) millis);
-        if (service.engine().isPresent() && !attempt.choice.waitsForCapacity()) {
-            EngineModel model = context.engineModels().of(service.name());
-            attempt.upstream.recordDeviation(model.recordFirstEvent(attempt.choice.queuedTokens(), millis));
-        }
-    }
-
     private void endStream(long nowMillis) {
         if (attempt.eventSplitter.hasPartialEvent()) {
             onAttemptFailed(AttemptOutcome.BROKEN, "stream ended in the middle of an event", nowMillis);
@@ -426,10 +390,7 @@
             onAttemptFailed(AttemptOutcome.BROKEN, "resumed stream ended without an event", nowMillis);
             return;
         }
-        attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
-        if (service.engine().isPresent() && attempt.firstEventReceived) {
-            context.engineModels().of(service.name()).recordStream(nowMillis - attempt.firstEventMillis);
-        }
+        recorder.recordStreamEnd(attempt, nowMillis);
         if (!streamStarted) {
             recordUsage();
             caller.startStream(attempt.response.status(), attempt.response.headers());
@@ -533,7 +494,7 @@
     private void onDeadline(long nowMillis) {
         record.recordReason("deadline");
         if (attempt != null) {
-            attempt.upstream.failureDetector().recordOutcome(false, nowMillis);
+            recorder.recordFailure(attempt, nowMillis);
         }
         endUnfinished(ErrorKind.OVERLOADED, ErrorKind.DEADLINE_AFTER_SEND, nowMillis);
     }
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
@@ -0,0 +1,64 @@
+package org.lovagethread.gateway.http;
+
+import java.util.Optional;
+import java.util.Set;
+import org.lovagethread.gateway.config.Route;
+import org.lovagethread.gateway.config.ServiceSpec;
+import org.lovagethread.gateway.policy.Admission;
+import org.lovagethread.gateway.policy.Placement;
+
+/** Selects the upstream for the next attempt of a request, or decides that the request is refused. */
+final class UpstreamSelector {
+    private final ExchangeContext context;
+    private final AdmittedRequest admitted;
+    private final Placement.Demand demand;
+
+    /** Result of a selection. */
+    sealed interface Selection {}
+
+    /** The request is sent to an upstream. */
+    record Send(Placement.Choice choice) implements Selection {}
+
+    /** The request is refused, although there is an upstream. */
+    record Refuse(Placement.Choice choice, long retryAfterMillis) implements Selection {}
+
+    /** There is no upstream that may receive the request. */
+    record Unavailable() implements Selection {}
+
+    UpstreamSelector(ExchangeContext context, AdmittedRequest admitted, Placement.Demand demand) {
+        this.context = context;
+        this.admitted = admitted;
+        this.demand = demand;
+    }
+
+    /**
+     * Selects an upstream.
+     *
+     * @param triedUpstreams the identifiers of the upstreams to which the request was sent before
+     * @param remainingMillis the time until the deadline of the request, in milliseconds
+     * @param nowMillis the current time in milliseconds
+     * @return the selection
+     */
+    Selection select(Set<String> triedUpstreams, long remainingMillis, long nowMillis) {
+        Route route = admitted.route();
+        ServiceSpec service = admitted.service();
+        boolean isFirstAttempt = triedUpstreams.isEmpty();
+        Optional<Placement.Choice> choice = context.placement()
+                .choose(
+                        service,
+                        context.upstreams().available(service.name()),
+                        triedUpstreams,
+                        demand,
+                        route.isRetryable() && isFirstAttempt,
+                        nowMillis);
+        if (choice.isEmpty()) {
+            return new Unavailable();
+        }
+        Admission.Candidate candidate = new Admission.Candidate(route, admitted.targetMillis(), remainingMillis);
+        if (isFirstAttempt && !context.admission().admits(candidate, choice.get())) {
+            return new Refuse(
+                    choice.get(), context.retryAfterMillis(service.name(), candidate, choice.get(), nowMillis));
+        }
+        return new Send(choice.get());
+    }
+}
