Control the share of requests that leaves the availability zone

Leaving the zone had a constant cost, so the gateways of a zone with too much demand filled all zones, and zones sent to each other from old reports.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
@@ -25,10 +25,7 @@
  * <p>This handles bursts of long prompts, which queue behind each other although slots are free.
  */
 public final class Placement {
-    /** Cost of calling an upstream in another availability zone of the region, in milliseconds. */
-    private static final double CROSS_ZONE_COST_MILLIS = 4;
-
-    /** Cost of calling an upstream in another region, in milliseconds. */
+    /** Assumed cost of calling an upstream in another region when preferred engines are chosen, in milliseconds. */
     private static final double CROSS_REGION_COST_MILLIS = 60;
 
     /** Assumed share of a shared prompt that its preferred engine has cached if it was not sent there before. */
@@ -49,16 +46,38 @@
     private final PrefixCacheIndex sentPrefixes = new PrefixCacheIndex();
     private final ZoneTopology zones;
     private final EngineModels models;
+    private final CrossZoneRouting routing;
 
     /**
-     * Creates a placement.
+     * Creates a placement with fixed costs of leaving the zone.
      *
      * @param zones the distances between availability zones
      * @param models the performance models of the engines
      */
     public Placement(ZoneTopology zones, EngineModels models) {
+        this(zones, models, new CrossZoneRouting(zones, CrossZoneSettings.FIXED_COSTS, 0));
+    }
+
+    /**
+     * Creates a placement.
+     *
+     * @param zones the distances between availability zones
+     * @param models the performance models of the engines
+     * @param routing decides which requests may leave the zone and what that costs
+     */
+    public Placement(ZoneTopology zones, EngineModels models, CrossZoneRouting routing) {
         this.zones = zones;
         this.models = models;
+        this.routing = routing;
+    }
+
+    /**
+     * Returns what decides which requests may leave the zone.
+     *
+     * @return the routing between zones
+     */
+    public CrossZoneRouting routing() {
+        return routing;
     }
 
     /**
@@ -130,6 +149,7 @@
                 median(candidates, Upstream::averageResponseMillis, Double.MAX_VALUE / 4),
                 median(candidates, Upstream::averageDeviation, 1),
                 nowMillis);
+        CrossZoneRouting.ServiceZones serviceZones = routing.begin(service.name(), candidates, excluded, nowMillis);
         Choice best = null;
         double bestScore = Double.MAX_VALUE;
         Choice lastResort = null;
@@ -140,10 +160,12 @@
             }
             Choice choice =
                     service.engine().isEmpty() ? predictPlain(context, upstream) : predictEngine(context, upstream);
-            double score = choice.predictedLatencyMillis()
-                    + networkCostMillis(upstream)
-                    + reprocessingPenaltyMillis(context, choice);
+            double localScore = choice.predictedLatencyMillis() + reprocessingPenaltyMillis(context, choice);
+            double score = localScore + networkCostMillis(serviceZones, context, upstream);
             boolean avoided = upstream.failureDetector().shouldAvoid(nowMillis);
+            if (!avoided) {
+                serviceZones.record(choice, estimate, localScore);
+            }
             if (avoided && trialAllowed && upstream.failureDetector().tryAcquireTrial(nowMillis)) {
                 return Optional.of(choice);
             }
@@ -155,6 +177,7 @@
                 bestScore = score;
             }
         }
+        serviceZones.end();
         return Optional.ofNullable(best != null ? best : lastResort);
     }
 
@@ -285,12 +308,9 @@
         return mixed ^ (mixed >>> 29);
     }
 
-    private double networkCostMillis(Upstream upstream) {
-        return switch (zones.distance(upstream.entry().zone())) {
-            case SAME_ZONE -> 0;
-            case SAME_REGION -> CROSS_ZONE_COST_MILLIS;
-            case OTHER_REGION -> CROSS_REGION_COST_MILLIS;
-        };
+    private static double networkCostMillis(
+            CrossZoneRouting.ServiceZones serviceZones, Context context, Upstream upstream) {
+        return serviceZones.costMillis(upstream, upstream.entry().id().equals(context.preferredId()));
     }
 
     private static double median(List<Upstream> candidates, ToDoubleFunction<Upstream> property, double defaultValue) {
