--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrossZoneSettings.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/CrossZoneSettings.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.policy;
+package org.lovagethread.gateway;
 
 /**
  * Settings of the traffic between availability zones.
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.duty.DutyLease;
@@ -34,8 +35,6 @@
 import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.policy.AddressPolicy;
 import org.lovagethread.gateway.policy.Admission;
-import org.lovagethread.gateway.policy.CrossZoneRouting;
-import org.lovagethread.gateway.policy.CrossZoneSettings;
 import org.lovagethread.gateway.policy.LagDetector;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptQuarantine;
@@ -134,10 +133,8 @@
         this.addressPolicy = new AddressPolicy(zones);
         this.quota = new TokenQuota(bounds.quotaTolerance(), bounds.quotaToleranceTokens());
         this.peers = new PeerTable(settings.host(), settings.zone(), settings.capacity());
-        CrossZoneRouting routing =
-                new CrossZoneRouting(zones, crossZone, settings.node().hashCode() ^ incarnation);
-        this.placement = new Placement(zones, engineModels, routing);
-        this.zoneTraffic = new ZoneTrafficExchange(routing, zones, log, metrics);
+        this.zoneTraffic = new ZoneTrafficExchange(zones, crossZone, settings.node() + '#' + incarnation, log, metrics);
+        this.placement = new Placement(zones, engineModels, zoneTraffic.routing());
         this.retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindowMillis());
         this.usage = new UsageLedger(bounds.usageWindowMillis(), this::clusterMillis);
         this.sync = new StateSync(
@@ -154,9 +151,7 @@
                 log);
         this.fleetManager =
                 new FleetManager(ports.duties(), upstreams, engineModels, this::nowMillis, lease::fencingToken, log);
-        if (crossZone.enabled()) {
-            fleetManager.followDemand(service -> routing.traffic().demandByZone(service, nowMillis()));
-        }
+        fleetManager.followDemand(service -> zoneTraffic.demandByZone(service, nowMillis()));
         this.upstreamClient = new NettyUpstreamClient(
                 loop,
                 ports.headerCodec(),
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ZoneTrafficExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ZoneTrafficExchange.java
@@ -1,6 +1,8 @@
 package org.lovagethread.gateway.http;
 
 import com.google.protobuf.UnknownFieldSet;
+import java.util.Map;
+import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.log.GatewayMetrics;
 import org.lovagethread.gateway.policy.CrossZoneRouting;
@@ -21,6 +23,7 @@
 
     private final CrossZoneRouting routing;
     private final ZoneTopology zones;
+    private final boolean followsDemand;
     private final EventLog log;
     private final GatewayMetrics metrics;
     private long nextReportMillis;
@@ -29,18 +32,31 @@
     /**
      * Creates an exchange.
      *
-     * @param routing decides which requests leave the zone
      * @param zones the distances between availability zones
+     * @param settings the settings of the traffic between zones
+     * @param process the name and incarnation of this gateway, from which the seed of its random decisions is derived
      * @param log receives a line for each substantial change of a share
      * @param metrics receive the traffic and the shares
      */
-    ZoneTrafficExchange(CrossZoneRouting routing, ZoneTopology zones, EventLog log, GatewayMetrics metrics) {
-        this.routing = routing;
+    ZoneTrafficExchange(
+            ZoneTopology zones, CrossZoneSettings settings, String process, EventLog log, GatewayMetrics metrics) {
+        this.routing = new CrossZoneRouting(zones, settings, process.hashCode());
         this.zones = zones;
+        this.followsDemand = settings.enabled();
         this.log = log;
         this.metrics = metrics;
     }
 
+    /** Returns what decides which requests leave the zone. */
+    CrossZoneRouting routing() {
+        return routing;
+    }
+
+    /** Returns the tokens per second that callers in each zone request; empty if instances are distributed evenly. */
+    Map<String, Double> demandByZone(String service, long nowMillis) {
+        return followsDemand ? routing.traffic().demandByZone(service, nowMillis) : Map.of();
+    }
+
     /** Returns the fields that the next state of this gateway contains in addition; none if no report is due. */
     UnknownFieldSet reportForPeers(boolean usesCells, long nowMillis) {
         if (nowMillis < nextReportMillis || hasOneZone()) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrossZoneRouting.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrossZoneRouting.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.engine.EngineEstimate;
 import org.lovagethread.gateway.policy.ZoneTopology.Distance;
 import org.lovagethread.gateway.upstream.Upstream;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import org.lovagethread.core.upstream.PrefixCacheIndex;
+import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.config.ServiceSpec.EngineSpec;
 import org.lovagethread.gateway.engine.EngineEstimate;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrossZoneRoutingTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrossZoneRoutingTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.policy.CrossZoneRouting.ChangeKind;
