Merge cross-zone traffic

Each gateway controls the share of a service's requests that may leave its availability zone, by the time that callers save against the cost, the load of the destination and of the link between the regions. Orders of instances follow the demand of the zones.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.duty.DutyLease;
@@ -82,6 +83,7 @@
     private final AddressPolicy addressPolicy;
     private final PeerTable peers;
     private final Placement placement;
+    private final ZoneTrafficExchange zoneTraffic;
     private final RetryBudget retryBudget;
     private final UsageLedger usage;
     private final StateSync sync;
@@ -104,6 +106,22 @@
      * @param log the event log
      */
     public Gateway(GatewaySettings settings, Function<PooledHttpClient, PlatformPorts> portsFactory, EventLog log) {
+        this(settings, CrossZoneSettings.DEFAULT, portsFactory, log);
+    }
+
+    /**
+     * Creates a gateway, which is started by {@link #start}.
+     *
+     * @param settings the settings
+     * @param crossZone the settings of the traffic between zones
+     * @param portsFactory creates the interfaces to the platform
+     * @param log the event log
+     */
+    public Gateway(
+            GatewaySettings settings,
+            CrossZoneSettings crossZone,
+            Function<PooledHttpClient, PlatformPorts> portsFactory,
+            EventLog log) {
         this.settings = settings;
         this.log = log;
         this.crashReporter = new CrashReporter(log, metrics);
@@ -115,7 +133,8 @@
         this.addressPolicy = new AddressPolicy(zones);
         this.quota = new TokenQuota(bounds.quotaTolerance(), bounds.quotaToleranceTokens());
         this.peers = new PeerTable(settings.host(), settings.zone(), settings.capacity());
-        this.placement = new Placement(zones, engineModels);
+        this.zoneTraffic = new ZoneTrafficExchange(zones, crossZone, settings.node() + '#' + incarnation, log, metrics);
+        this.placement = new Placement(zones, engineModels, zoneTraffic.routing());
         this.retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindowMillis());
         this.usage = new UsageLedger(bounds.usageWindowMillis(), this::clusterMillis);
         this.sync = new StateSync(
@@ -132,6 +151,7 @@
                 log);
         this.fleetManager =
                 new FleetManager(ports.duties(), upstreams, engineModels, this::nowMillis, lease::fencingToken, log);
+        fleetManager.followDemand(service -> zoneTraffic.demandByZone(service, nowMillis()));
         this.upstreamClient = new NettyUpstreamClient(
                 loop,
                 ports.headerCodec(),
@@ -247,6 +267,7 @@
         }
         if (ticks % 25 == 0) {
             upstreamClient.tick(nowMillis);
+            zoneTraffic.tick(nowMillis);
             quota.expire(nowMillis);
             for (String id : upstreams.expire(
                     sync.storeHealth().isReachable(), sync.storeHealth().recoveredMillis(), nowMillis)) {
@@ -388,6 +409,10 @@
         return peers;
     }
 
+    ZoneTrafficExchange zoneTraffic() {
+        return zoneTraffic;
+    }
+
     ClusterClock clock() {
         return clock;
     }
