Decide about version rollouts from merged statistics

Operators need a version moved behind the gateways with bounded exposure to a bad one. The package rollout limits each gateway's canary share, compares both versions in the same seconds and decides by a sequential test.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.lovagethread.gateway.rollout.RolloutBounds;
 
 /**
  * Settings of a gateway.
@@ -54,6 +56,7 @@
      * @param usageReportDeadlineMillis the time from the end of a window until its usage report is due, in milliseconds
      * @param maxAddressTtlMillis the maximum time for which callers may cache an address, in milliseconds
      * @param silenceTimeouts how soon the loss of connections without a reset must be noticed
+     * @param rollout the limits of version rollouts; empty if they are not requested on this platform
      */
     public record Bounds(
             long stopGraceMillis,
@@ -66,5 +69,35 @@
             long usageWindowMillis,
             long usageReportDeadlineMillis,
             long maxAddressTtlMillis,
-            SilenceTimeouts silenceTimeouts) {}
+            SilenceTimeouts silenceTimeouts,
+            Optional<RolloutBounds> rollout) {
+
+        /** Creates limits without version rollouts. */
+        public Bounds(
+                long stopGraceMillis,
+                double retryRatio,
+                double retryAllowance,
+                long retryWindowMillis,
+                double quotaTolerance,
+                double quotaToleranceTokens,
+                long leaseMillis,
+                long usageWindowMillis,
+                long usageReportDeadlineMillis,
+                long maxAddressTtlMillis,
+                SilenceTimeouts silenceTimeouts) {
+            this(
+                    stopGraceMillis,
+                    retryRatio,
+                    retryAllowance,
+                    retryWindowMillis,
+                    quotaTolerance,
+                    quotaToleranceTokens,
+                    leaseMillis,
+                    usageWindowMillis,
+                    usageReportDeadlineMillis,
+                    maxAddressTtlMillis,
+                    silenceTimeouts,
+                    Optional.empty());
+        }
+    }
 }
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
@@ -0,0 +1,163 @@
+package org.lovagethread.gateway.rollout;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
+import org.lovagethread.gateway.upstream.Upstream;
+
+/** A rollout as this gateway knows it: its stage, the requests of this gateway, and the reports of its peers. */
+final class ServiceRollout {
+    /** Share of the repeatable requests that stay with the old version for comparison while traffic is shifted. */
+    private static final double CONTROL_SHARE = 0.1;
+
+    /** Time for which the end of a rollout is reported to peers, in milliseconds. */
+    private static final long END_REPORT_MILLIS = 60_000;
+
+    private final CanaryLimiter limiter;
+    private final DoubleSupplier random;
+    private final VersionStatistics local = new VersionStatistics();
+    private final Map<String, VersionStatistics> reports = new HashMap<>();
+    private final RolloutJudge judge = new RolloutJudge();
+    private final long firstRevision;
+    private Rollout rollout;
+    private RolloutStage stage;
+    private long endedMillis;
+    private boolean burst;
+
+    ServiceRollout(Rollout rollout, RolloutStage stage, CanaryLimiter limiter, DoubleSupplier random) {
+        this.rollout = rollout;
+        this.stage = stage;
+        this.limiter = limiter;
+        this.random = random;
+        this.firstRevision = rollout.revision();
+    }
+
+    Rollout rollout() {
+        return rollout;
+    }
+
+    RolloutStage stage() {
+        return stage;
+    }
+
+    RolloutJudge judge() {
+        return judge;
+    }
+
+    CanaryLimiter limiter() {
+        return limiter;
+    }
+
+    /** Returns whether a report about the same target belongs to this order, not to an earlier one. */
+    boolean isAsNew(Rollout other) {
+        return other.revision() >= firstRevision;
+    }
+
+    void merge(long revision, long deadlineMillis) {
+        rollout = rollout.merge(revision, deadlineMillis);
+    }
+
+    /** Enters a stage; returns false if this is not possible from the current one. */
+    boolean advance(RolloutStage next, long nowMillis) {
+        if (!stage.mayBecome(next)) {
+            return false;
+        }
+        stage = next;
+        endedMillis = nowMillis;
+        return true;
+    }
+
+    /** Returns whether requests may be sent to the target version, within the limits of the stage. */
+    boolean isTargetPermitted(long nowMillis) {
+        if (stage.isEnded()) {
+            return stage == RolloutStage.COMPLETED;
+        }
+        return !judge.isBad() && nowMillis < rollout.deadlineMillis();
+    }
+
+    /** Returns the candidates for a request if both versions have upstreams. */
+    RolloutTable.Candidates candidates(
+            List<Upstream> old, List<Upstream> targets, RolloutTable.RequestKind kind, long nowMillis) {
+        burst = false;
+        if (!isTargetPermitted(nowMillis)) {
+            return new RolloutTable.Candidates(old, List.of());
+        }
+        if (stage == RolloutStage.SHIFTING) {
+            burst = rollout.progress(nowMillis) < RolloutDecision.LAST_CONTROL;
+            boolean isControl =
+                    burst && kind.isRepeatable() && kind.isFirstAttempt() && random.getAsDouble() < CONTROL_SHARE;
+            List<Upstream> others = kind.isRepeatable() ? old : List.of();
+            return isControl ? new RolloutTable.Candidates(old, targets) : new RolloutTable.Candidates(targets, others);
+        }
+        List<Upstream> canaries = CanaryPlan.canaries(rollout, targets);
+        double burstShare = CanaryPlan.burstShare(canaries.size(), old.size());
+        double share = limiter.share(rollout.progress(nowMillis) / RolloutDecision.EARLIEST_SHIFT);
+        burst = CanaryPlan.isBurst(rollout, share, burstShare, nowMillis);
+        boolean isCanary = burst && kind.isFirstAttempt() && random.getAsDouble() < burstShare && limiter.permits();
+        return isCanary ? new RolloutTable.Candidates(canaries, old) : new RolloutTable.Candidates(old, List.of());
+    }
+
+    /** Records a sent request; returns the sample for its outcome if it is counted for one of the versions. */
+    Optional<RolloutSample> recordSent(String route, Upstream upstream, boolean isFirstAttempt) {
+        boolean isTarget = upstream.entry().version().equals(rollout.target());
+        if (isFirstAttempt) {
+            limiter.recordRequest();
+        }
+        if (isTarget && stage == RolloutStage.CANARY) {
+            limiter.recordTargetRequest();
+        }
+        boolean isCompared = isTarget || (isFirstAttempt && (burst || stage == RolloutStage.CANARY));
+        if (stage.isEnded() || !isCompared) {
+            return Optional.empty();
+        }
+        int oldGroup = burst ? VersionStatistics.CONTROL : VersionStatistics.FULL_LOAD;
+        int group = isTarget ? CanaryPlan.group(rollout, upstream) : oldGroup;
+        local.recordSent(route, group);
+        return Optional.of(new RolloutSample(local, route, group));
+    }
+
+    /** Raises the totals that a peer reported. */
+    void recordReport(String reporter, VersionStatistics statistics) {
+        VersionStatistics totals = reports.computeIfAbsent(reporter, name -> new VersionStatistics());
+        statistics.countsByRoute().forEach((route, groups) -> {
+            for (int group = 0; group < VersionStatistics.GROUPS; group++) {
+                totals.raise(route, group, groups[group]);
+            }
+        });
+    }
+
+    /** Evaluates the statistics of all gateways; returns whether they have just proved the version bad. */
+    boolean evaluate(String self, long nowMillis) {
+        if (stage.isEnded() || judge.isBad()) {
+            return false;
+        }
+        Map<String, VersionStatistics> totals = new HashMap<>(reports);
+        totals.put(self, local);
+        judge.evaluate(totals, stage == RolloutStage.SHIFTING, nowMillis);
+        return judge.isBad();
+    }
+
+    Optional<RolloutStage> nextStage(long nowMillis) {
+        return RolloutDecision.next(rollout, stage, judge, nowMillis);
+    }
+
+    /** Returns the report for peers; empty some time after the end. */
+    Optional<RolloutReport> report(Predicate<String> included, long nowMillis) {
+        if (stage.isEnded()) {
+            return nowMillis - endedMillis > END_REPORT_MILLIS
+                    ? Optional.empty()
+                    : Optional.of(new RolloutReport(rollout, stage, new VersionStatistics()));
+        }
+        VersionStatistics totals = new VersionStatistics();
+        totals.add(local);
+        reports.forEach((reporter, statistics) -> {
+            if (included.test(reporter)) {
+                totals.add(statistics);
+            }
+        });
+        return Optional.of(new RolloutReport(rollout, stage, totals));
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectKind.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectKind.java
@@ -8,6 +8,8 @@
     UPSTREAMS,
     /** Registrations of gateways. */
     GATEWAYS,
-    /** The duty lease, and usage reports, which are stored before they are sent. */
-    DUTIES
+    /** The duty lease, usage reports, which are stored before they are sent, and decisions about rollouts. */
+    DUTIES,
+    /** Orders of operators to move the traffic of a service to another version; gateways write their status. */
+    ROLLOUTS
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectStore.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectStore.java
@@ -98,6 +98,17 @@
      */
     void replace(ObjectKind kind, StoredObject expected, JsonNode content, Consumer<StoreReply<StoredObject>> reply);
 
+    /**
+     * Replaces the status of an object if it has the expected revision. The content does not change.
+     *
+     * @param kind the kind
+     * @param expected the object in its expected state
+     * @param status the new status
+     * @param reply receives the reply; CONFLICT carries the object in its current state
+     */
+    void replaceStatus(
+            ObjectKind kind, StoredObject expected, JsonNode status, Consumer<StoreReply<StoredObject>> reply);
+
     /**
      * Removes an object regardless of its revision.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoredObject.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoredObject.java
@@ -11,8 +11,9 @@
  * @param revision the revision of the last change of the object
  * @param content the content; for kinds that gateways write, exactly what was written; missing if it cannot be read
  * @param defect why the object cannot be read; empty if it can
+ * @param status what gateways reported about the object; missing if nothing
  */
-public record StoredObject(String name, long revision, JsonNode content, Optional<String> defect) {
+public record StoredObject(String name, long revision, JsonNode content, Optional<String> defect, JsonNode status) {
 
     /**
      * Creates a readable object.
@@ -22,7 +23,19 @@
      * @param content the content
      */
     public StoredObject(String name, long revision, JsonNode content) {
-        this(name, revision, content, Optional.empty());
+        this(name, revision, content, Optional.empty(), MissingNode.getInstance());
+    }
+
+    /**
+     * Creates a readable object with a status.
+     *
+     * @param name the name
+     * @param revision the revision of the last change of the object
+     * @param content the content
+     * @param status what gateways reported about the object; missing if nothing
+     */
+    public StoredObject(String name, long revision, JsonNode content, JsonNode status) {
+        this(name, revision, content, Optional.empty(), status);
     }
 
     /**
@@ -34,6 +47,7 @@
      * @return the object
      */
     public static StoredObject unreadable(String name, long revision, String reason) {
-        return new StoredObject(name, revision, MissingNode.getInstance(), Optional.of(reason));
+        return new StoredObject(
+                name, revision, MissingNode.getInstance(), Optional.of(reason), MissingNode.getInstance());
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamEntry.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamEntry.java
@@ -14,6 +14,7 @@
  * @param leaving whether it has announced its shutdown
  * @param reclaimable whether it runs on an instance that the provider may reclaim
  * @param startedAtMillis the start time of its process in milliseconds since the epoch; zero if unknown
+ * @param version the version of its software; an empty string if unknown
  */
 public record UpstreamEntry(
         String id,
@@ -24,7 +25,22 @@
         int slots,
         boolean leaving,
         boolean reclaimable,
-        long startedAtMillis) {
+        long startedAtMillis,
+        String version) {
+
+    /** Creates an entry of an upstream whose version is unknown. */
+    public UpstreamEntry(
+            String id,
+            String service,
+            String host,
+            int port,
+            String zone,
+            int slots,
+            boolean leaving,
+            boolean reclaimable,
+            long startedAtMillis) {
+        this(id, service, host, port, zone, slots, leaving, reclaimable, startedAtMillis, "");
+    }
 
     /**
      * Returns a copy of this entry that is marked as leaving.
@@ -32,7 +48,7 @@
      * @return the leaving entry
      */
     public UpstreamEntry asLeaving() {
-        return new UpstreamEntry(id, service, host, port, zone, slots, true, reclaimable, startedAtMillis);
+        return new UpstreamEntry(id, service, host, port, zone, slots, true, reclaimable, startedAtMillis, version);
     }
 
     // Implemented explicitly, because linking the generated methods at run time delays the start of the process by
@@ -48,11 +64,12 @@
                 && slots == entry.slots
                 && leaving == entry.leaving
                 && reclaimable == entry.reclaimable
-                && startedAtMillis == entry.startedAtMillis;
+                && startedAtMillis == entry.startedAtMillis
+                && version.equals(entry.version);
     }
 
     @Override
     public int hashCode() {
-        return Objects.hash(id, service, host, port, zone, slots, leaving, reclaimable, startedAtMillis);
+        return Objects.hash(id, service, host, port, zone, slots, leaving, reclaimable, startedAtMillis, version);
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
@@ -96,6 +96,23 @@
         }
     }
 
+    @Override
+    public void replaceStatus(
+            ObjectKind kind, StoredObject expected, JsonNode status, Consumer<StoreReply<StoredObject>> reply) {
+        StoredObject existing = objects.get(kind + expected.name());
+        if (unavailable || existing == null || existing.revision() != expected.revision()) {
+            answer(
+                    reply,
+                    existing == null ? StoreReply.of(Status.MISSING) : StoreReply.of(Status.CONFLICT, existing),
+                    false);
+            return;
+        }
+        revision++;
+        StoredObject object = new StoredObject(expected.name(), revision, existing.content(), status.deepCopy());
+        objects.put(kind + expected.name(), object);
+        answer(reply, StoreReply.of(Status.OK, object), true);
+    }
+
     @Override
     public void remove(ObjectKind kind, String name, Consumer<StoreReply<StoredObject>> reply) {
         objects.remove(kind + name);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/KindWatcherTest.java
@@ -52,6 +52,10 @@
         public void replace(
                 ObjectKind kind, StoredObject expected, JsonNode content, Consumer<StoreReply<StoredObject>> reply) {}
 
+        @Override
+        public void replaceStatus(
+                ObjectKind kind, StoredObject expected, JsonNode status, Consumer<StoreReply<StoredObject>> reply) {}
+
         @Override
         public void remove(ObjectKind kind, String name, Consumer<StoreReply<StoredObject>> reply) {}
     }
