--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/config/ConfigurationDecoder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/config/ConfigurationDecoder.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
+import java.util.Optional;
+import org.lovagethread.gateway.rollout.RolloutOrder;
+import org.lovagethread.gateway.rollout.RolloutStage;
 import org.lovagethread.gateway.store.StoredObject;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
@@ -23,4 +26,25 @@
      * @return the entry, or the reason why it does not describe a usable upstream
      */
     Either<String, UpstreamEntry> decodeUpstream(StoredObject object);
+
+    /**
+     * Decodes the order for a rollout.
+     *
+     * @param object the object
+     * @return the order, or the reason why it is invalid
+     */
+    default Either<String, RolloutOrder> decodeRollout(StoredObject object) {
+        return Either.left("rollouts are not supported");
+    }
+
+    /**
+     * Encodes the status of an order.
+     *
+     * @param target the version to which the traffic is to be moved
+     * @param end the final stage, or empty while the rollout runs
+     * @return the status
+     */
+    default JsonNode encodeRolloutStatus(String target, Optional<RolloutStage> end) {
+        throw new UnsupportedOperationException("rollouts are not supported");
+    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
@@ -3,10 +3,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.rollout.RolloutSample;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /** An attempt to have the request served by one upstream, and the part of its response received so far. */
@@ -32,6 +34,7 @@
     boolean responseEnded;
     boolean silenceRecorded;
     long bytesSinceEvent;
+    Optional<RolloutSample> rolloutSample = Optional.empty();
 
     Attempt(
             Placement.Choice choice,
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
@@ -5,18 +5,22 @@
 import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
+import org.lovagethread.gateway.rollout.RolloutSample;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /** Records what the attempts of one request show about their upstreams: load, outcomes and response times. */
 final class AttemptRecorder {
     private final ExchangeContext context;
     private final ServiceSpec service;
+    private final String route;
     private final PromptPrefix prefix;
     private final Placement.Demand demand;
+    private boolean sentBefore;
 
     AttemptRecorder(ExchangeContext context, AdmittedRequest admitted, Placement.Demand demand) {
         this.context = context;
         this.service = admitted.service();
+        this.route = admitted.route().name();
         this.prefix = admitted.attributes().prefix();
         this.demand = demand;
     }
@@ -29,11 +33,14 @@
             context.engineModels().of(service.name()).recordPrompt(attempt.choice.unreadTokens(), attempt.memoryTokens);
         }
         context.placement().recordSent(demand, upstream);
+        attempt.rolloutSample = context.rollouts().recordSent(service.name(), route, upstream, !sentBefore);
+        sentBefore = true;
     }
 
     /** Records that no connection to the upstream could be used. */
     void recordUnreachable(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordUnreachable(nowMillis, InactivityTimeout.AVOIDANCE_MILLIS);
+        attempt.rolloutSample.ifPresent(RolloutSample::recordFailure);
     }
 
     /** Records the first event of a stream. */
@@ -44,7 +51,14 @@
         attempt.upstream.recordResponseTime((double) millis);
         if (service.engine().isPresent() && !attempt.choice.waitsForCapacity()) {
             EngineModel model = context.engineModels().of(service.name());
-            attempt.upstream.recordDeviation(model.recordFirstEvent(attempt.choice.queuedTokens(), millis));
+            double deviation = model.recordFirstEvent(attempt.choice.queuedTokens(), millis);
+            attempt.upstream.recordDeviation(deviation);
+            attempt.rolloutSample.ifPresent(sample -> sample.recordDeviation(deviation));
+        } else if (service.engine().isPresent()) {
+            double predictedMillis = Math.max(1, attempt.choice.predictedLatencyMillis());
+            attempt.rolloutSample.ifPresent(sample -> sample.recordDeviation(millis / predictedMillis));
+        } else {
+            attempt.rolloutSample.ifPresent(sample -> sample.recordResponse(millis));
         }
     }
 
@@ -60,21 +74,25 @@
     void recordSuccess(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
         attempt.upstream.recordResponseTime((double) (nowMillis - attempt.sentMillis));
+        attempt.rolloutSample.ifPresent(sample -> sample.recordResponse(nowMillis - attempt.sentMillis));
     }
 
     /** Records that the upstream stated that it did not run the request. */
     void recordRejection(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(false, nowMillis);
+        attempt.rolloutSample.ifPresent(RolloutSample::recordFailure);
     }
 
     /** Records that the upstream failed the request, or did not complete it before the deadline. */
     void recordFailure(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(false, nowMillis);
+        attempt.rolloutSample.ifPresent(RolloutSample::recordFailure);
     }
 
     /** Records that the connection broke before the response was complete. */
     void recordBreak(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(false, nowMillis);
+        attempt.rolloutSample.ifPresent(RolloutSample::recordFailure);
         context.promptQuarantine()
                 .recordBreak(
                         attempt.upstream.entry(), prefix, attempt.firstEventReceived, attempt.sentMillis, nowMillis);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -38,6 +38,9 @@
     /** Number of summaries of which one contains the usage counts. */
     private static final int SUMMARIES_PER_USAGE_COUNT = 4;
 
+    /** Number of summaries of which one contains the statistics of rollouts. */
+    private static final int SUMMARIES_PER_ROLLOUT_STATISTICS = 2;
+
     private final Gateway gateway;
     private final CellTable cells;
     private final Map<String, Integer> contactAttempts = new HashMap<>();
@@ -143,6 +146,7 @@
 
     private void apply(CellState state, long nowMillis) {
         String cell = CELL_PREFIX + state.getZone();
+        gateway.rolloutService().applyCell(cell, state.getMembers(), state.getUnknownFields(), nowMillis);
         LeavingMarkCodec.applyPeer(
                 state.getLeavingUpstreamsList(), state.getLeavingRemainingMillisList(), gateway.upstreams(), nowMillis);
         state.getResignedTermsList().forEach(gateway.lease()::recordPeerResignation);
@@ -236,6 +240,8 @@
         if (includesUsageCounts()) {
             addUsageCounts(state);
         }
+        state.setUnknownFields(
+                gateway.rolloutService().cellFields(sequence % SUMMARIES_PER_ROLLOUT_STATISTICS == 0, nowMillis));
         return state.setCrashEvidence(PromptEvidenceCodec.encode(
                         gateway.promptQuarantine().combinedEvidence(peer -> !peer.startsWith(CELL_PREFIX), nowMillis),
                         nowMillis))
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -9,6 +9,7 @@
 import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
+import org.lovagethread.gateway.rollout.RolloutTable;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
 /** Provides the objects that all exchanges of a gateway share. Used on the gateway's event loop only. */
@@ -25,6 +26,9 @@
     /** Returns the policy that chooses an upstream for each request. */
     Placement placement();
 
+    /** Returns the rollouts, which restrict the upstreams that may receive a request. */
+    RolloutTable rollouts();
+
     /** Returns the performance models of the engines. */
     EngineModels engineModels();
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -40,6 +40,7 @@
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
+import org.lovagethread.gateway.rollout.RolloutTable;
 import org.lovagethread.gateway.store.Scheduler;
 import org.lovagethread.gateway.store.StateSync;
 import org.lovagethread.gateway.upstream.LeavingMark;
@@ -92,6 +93,7 @@
     private final CallerServer callerServer;
     private final PeerExchange peerExchange;
     private final Shutdown shutdown;
+    private final RolloutService rollouts;
     private Channel callerListener;
     private long ticks;
     private boolean leaseHeld;
@@ -141,6 +143,7 @@
         this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
         this.peerExchange = new PeerExchange(this, httpClient);
         this.shutdown = new Shutdown(this, bounds);
+        this.rollouts = new RolloutService(this, zones, this::clusterMillis);
     }
 
     /**
@@ -241,6 +244,7 @@
             lease.tick(sync.isComplete() && !callerServer.isDraining() && peerExchange.isPreferredLeader(nowMillis));
             logLeaseChange();
             usageReporter.tick();
+            rollouts.tick(nowMillis);
             crashReporter.report(promptQuarantine.evaluate(upstreams, nowMillis), nowMillis);
             crashReporter.report(promptQuarantine.crashLog(), nowMillis);
             configuration().ifPresent(current -> fleetManager.tick(current, quota.tokensPerSecond(nowMillis)));
@@ -302,6 +306,7 @@
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("buffered_response_bytes", responseMemory.totalBytes());
         metrics.setState("malformed_leaving_notices", upstreamClient.malformedLeavingNotices());
+        rollouts.expose(metrics);
         metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
         metrics.setState("upstream_connections_with_surplus_bytes", upstreamClient.connectionsWithSurplusBytes());
         return new SimpleHttpServer.Response(
@@ -488,6 +493,15 @@
         return placement;
     }
 
+    RolloutService rolloutService() {
+        return rollouts;
+    }
+
+    @Override
+    public RolloutTable rollouts() {
+        return rollouts.table();
+    }
+
     @Override
     public EngineModels engineModels() {
         return engineModels;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -225,6 +225,7 @@
             nextCountsMillis = nowMillis + COUNTS_INTERVAL_MILLIS;
             addUsageCounts(state, nowMillis);
         }
+        state.setUnknownFields(gateway.rolloutService().gatewayFields(nowMillis));
         return state.setCrashEvidence(
                         PromptEvidenceCodec.encode(gateway.promptQuarantine().localEvidence(nowMillis), nowMillis))
                 .build();
@@ -263,6 +264,7 @@
 
     private void apply(GatewayState state, long now) {
         String process = state.getNode() + '#' + state.getIncarnation();
+        gateway.rolloutService().applyGateway(process, state.getUnknownFields(), now);
         gateway.clock().update(state.getNode(), state.getWallClockMillis(), now);
         gateway.lease().recordPeerResignation(state.getResignedTerm());
         LeavingMarkCodec.applyPeer(
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
@@ -1,11 +1,14 @@
 package org.lovagethread.gateway.http;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.rollout.RolloutTable;
+import org.lovagethread.gateway.upstream.Upstream;
 
 /** Selects the upstream for the next attempt of a request, or decides that the request is refused. */
 final class UpstreamSelector {
@@ -40,17 +43,29 @@
      * @return the selection
      */
     Selection select(Set<String> triedUpstreams, long remainingMillis, long nowMillis) {
+        String service = admitted.service().name();
+        RolloutTable.Candidates candidates = context.rollouts()
+                .candidates(
+                        service,
+                        context.upstreams().available(service),
+                        new RolloutTable.RequestKind(
+                                triedUpstreams.isEmpty(), admitted.route().isRetryable()),
+                        nowMillis);
+        Selection selection = select(candidates.preferred(), triedUpstreams, remainingMillis, nowMillis);
+        if (selection instanceof Send || candidates.fallback().isEmpty()) {
+            return selection;
+        }
+        Selection other = select(candidates.fallback(), triedUpstreams, remainingMillis, nowMillis);
+        return other instanceof Unavailable ? selection : other;
+    }
+
+    private Selection select(
+            List<Upstream> candidates, Set<String> triedUpstreams, long remainingMillis, long nowMillis) {
         Route route = admitted.route();
         ServiceSpec service = admitted.service();
         boolean isFirstAttempt = triedUpstreams.isEmpty();
         Optional<Placement.Choice> choice = context.placement()
-                .choose(
-                        service,
-                        context.upstreams().available(service.name()),
-                        triedUpstreams,
-                        demand,
-                        route.isRetryable() && isFirstAttempt,
-                        nowMillis);
+                .choose(service, candidates, triedUpstreams, demand, route.isRetryable() && isFirstAttempt, nowMillis);
         if (choice.isEmpty()) {
             return new Unavailable();
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -45,6 +45,11 @@
             .help("Incarnations of upstreams that broke connections with requests, by whether they crashed.")
             .labelNames("service", "crashed")
             .register(registry);
+    private final Gauge rolloutGauges = Gauge.builder()
+            .name("lovagethread_rollout")
+            .help("State and figures of the latest rollout of a service, by name.")
+            .labelNames("service", "name")
+            .register(registry);
     private final Gauge stateGauges = Gauge.builder()
             .name("lovagethread_state")
             .help("State of the gateway by name.")
@@ -111,6 +116,17 @@
         stateGauges.labelValues(name).set((double) value);
     }
 
+    /**
+     * Sets a gauge of the rollout of a service.
+     *
+     * @param service the name of the service
+     * @param name the name label of the gauge
+     * @param value the current value
+     */
+    public void setRollout(String service, String name, long value) {
+        rolloutGauges.labelValues(service, name).set((double) value);
+    }
+
     /**
      * Returns all metrics in the Prometheus text format.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutJudge.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutJudge.java
@@ -66,6 +66,11 @@
         return bad;
     }
 
+    /** Concludes that the version is bad, because many other gateways did before this one received their reports. */
+    public void adoptConclusion() {
+        bad = true;
+    }
+
     /**
      * Returns the strength of the evidence against the version.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTable.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
+import org.lovagethread.gateway.policy.ZoneTopology;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /**
@@ -22,7 +23,14 @@
     /** Maximum number of services with a rollout, which bounds the messages to peers. */
     private static final int MAX_ROLLOUTS = 16;
 
+    /** Time on the network to another zone and back; canaries may be further away than most old upstreams. */
+    private static final long ZONE_ROUND_TRIP_MILLIS = 3;
+
+    /** Time on the network to another region and back. */
+    private static final long REGION_ROUND_TRIP_MILLIS = 24;
+
     private final Optional<RolloutBounds> bounds;
+    private final ZoneTopology zones;
     private final String self;
     private final DoubleSupplier random;
     private final Observer observer;
@@ -71,12 +79,15 @@
      * Creates a table without rollouts.
      *
      * @param bounds the limits; if empty, there are no rollouts and all upstreams may always receive requests
+     * @param zones the distances between availability zones
      * @param self the name of this gateway among the reporters of statistics
      * @param random supplies random numbers from zero to one
      * @param observer receives the changes
      */
-    public RolloutTable(Optional<RolloutBounds> bounds, String self, DoubleSupplier random, Observer observer) {
+    public RolloutTable(
+            Optional<RolloutBounds> bounds, ZoneTopology zones, String self, DoubleSupplier random, Observer observer) {
         this.bounds = bounds;
+        this.zones = zones;
         this.self = self;
         this.random = random;
         this.observer = observer;
@@ -126,7 +137,16 @@
      */
     public Optional<RolloutSample> recordSent(String service, String route, Upstream upstream, boolean isFirstAttempt) {
         ServiceRollout current = byService.get(service);
-        return current == null ? Optional.empty() : current.recordSent(route, upstream, isFirstAttempt);
+        if (current == null) {
+            return Optional.empty();
+        }
+        long networkMillis =
+                switch (zones.distance(upstream.entry().zone())) {
+                    case SAME_ZONE -> 0;
+                    case SAME_REGION -> ZONE_ROUND_TRIP_MILLIS;
+                    case OTHER_REGION -> REGION_ROUND_TRIP_MILLIS;
+                };
+        return current.recordSent(route, upstream, networkMillis, isFirstAttempt);
     }
 
     /**
@@ -179,7 +199,7 @@
             return;
         }
         known.merge(rollout.revision(), rollout.deadlineMillis());
-        known.recordReport(reporter, report.statistics());
+        known.recordReport(reporter, report.stoppedGateways(), report.statistics());
         if (known.stage().mayBecome(report.stage())) {
             advance(rollout.service(), report.stage(), nowMillis);
         }
@@ -226,7 +246,7 @@
         }
         nextEvaluationMillis = nowMillis + EVALUATION_INTERVAL_MILLIS;
         for (ServiceRollout current : byService.values()) {
-            if (current.evaluate(self, nowMillis)) {
+            if (current.evaluate(self, gatewayCount, nowMillis)) {
                 observer.onStopped(current.rollout(), current.judge());
             }
         }
@@ -276,6 +296,21 @@
         return Optional.ofNullable(byService.get(service)).map(ServiceRollout::stage);
     }
 
+    /**
+     * Returns the share of its requests that this gateway has sent to the target version.
+     *
+     * @param service the name of the service
+     * @return the requests to the target version per thousand, or zero if no rollout is known
+     */
+    public long targetPerMille(String service) {
+        ServiceRollout current = byService.get(service);
+        return current == null
+                ? 0
+                : 1_000
+                        * current.limiter().targetRequests()
+                        / Math.max(1, current.limiter().requests());
+    }
+
     /**
      * Returns the services with a rollout.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
@@ -16,10 +16,17 @@
     /** Time for which the end of a rollout is reported to peers, in milliseconds. */
     private static final long END_REPORT_MILLIS = 60_000;
 
+    /**
+     * Share of the gateways whose conclusion a gateway adopts that has not come to it. A gateway that starts late sees
+     * the responses of a version that turned bad only in total, where the earlier good ones hide the bad ones.
+     */
+    private static final double ADOPTED_SHARE = 1.0 / 3;
+
     private final CanaryLimiter limiter;
     private final DoubleSupplier random;
     private final VersionStatistics local = new VersionStatistics();
     private final Map<String, VersionStatistics> reports = new HashMap<>();
+    private final Map<String, Integer> stoppedByReporter = new HashMap<>();
     private final RolloutJudge judge = new RolloutJudge();
     private final long firstRevision;
     private Rollout rollout;
@@ -101,7 +108,7 @@
     }
 
     /** Records a sent request; returns the sample for its outcome if it is counted for one of the versions. */
-    Optional<RolloutSample> recordSent(String route, Upstream upstream, boolean isFirstAttempt) {
+    Optional<RolloutSample> recordSent(String route, Upstream upstream, long networkMillis, boolean isFirstAttempt) {
         boolean isTarget = upstream.entry().version().equals(rollout.target());
         if (isFirstAttempt) {
             limiter.recordRequest();
@@ -116,11 +123,12 @@
         int oldGroup = burst ? VersionStatistics.CONTROL : VersionStatistics.FULL_LOAD;
         int group = isTarget ? CanaryPlan.group(rollout, upstream) : oldGroup;
         local.recordSent(route, group);
-        return Optional.of(new RolloutSample(local, route, group));
+        return Optional.of(new RolloutSample(local, route, group, networkMillis));
     }
 
-    /** Raises the totals that a peer reported. */
-    void recordReport(String reporter, VersionStatistics statistics) {
+    /** Raises the totals that a peer reported, and the number of gateways that have found the version bad. */
+    void recordReport(String reporter, int stoppedGateways, VersionStatistics statistics) {
+        stoppedByReporter.merge(reporter, stoppedGateways, Math::max);
         VersionStatistics totals = reports.computeIfAbsent(reporter, name -> new VersionStatistics());
         statistics.countsByRoute().forEach((route, groups) -> {
             for (int group = 0; group < VersionStatistics.GROUPS; group++) {
@@ -130,16 +138,28 @@
     }
 
     /** Evaluates the statistics of all gateways; returns whether they have just proved the version bad. */
-    boolean evaluate(String self, long nowMillis) {
+    boolean evaluate(String self, int gatewayCount, long nowMillis) {
         if (stage.isEnded() || judge.isBad()) {
             return false;
         }
         Map<String, VersionStatistics> totals = new HashMap<>(reports);
         totals.put(self, local);
         judge.evaluate(totals, stage == RolloutStage.SHIFTING, nowMillis);
+        long stopped = stopped(reporter -> true);
+        if (stopped > 0 && stopped >= ADOPTED_SHARE * gatewayCount) {
+            judge.adoptConclusion();
+        }
         return judge.isBad();
     }
 
+    private long stopped(Predicate<String> included) {
+        long stopped = judge.isBad() ? 1 : 0;
+        for (Map.Entry<String, Integer> entry : stoppedByReporter.entrySet()) {
+            stopped += included.test(entry.getKey()) ? entry.getValue() : 0;
+        }
+        return stopped;
+    }
+
     Optional<RolloutStage> nextStage(long nowMillis) {
         return RolloutDecision.next(rollout, stage, judge, nowMillis);
     }
@@ -149,7 +169,7 @@
         if (stage.isEnded()) {
             return nowMillis - endedMillis > END_REPORT_MILLIS
                     ? Optional.empty()
-                    : Optional.of(new RolloutReport(rollout, stage, new VersionStatistics()));
+                    : Optional.of(new RolloutReport(rollout, stage, 0, new VersionStatistics()));
         }
         VersionStatistics totals = new VersionStatistics();
         totals.add(local);
@@ -158,6 +178,6 @@
                 totals.add(statistics);
             }
         });
-        return Optional.of(new RolloutReport(rollout, stage, totals));
+        return Optional.of(new RolloutReport(rollout, stage, (int) stopped(included), totals));
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/LayeringTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/LayeringTest.java
@@ -17,6 +17,7 @@
             .resideInAnyPackage(
                     "org.lovagethread.gateway.policy",
                     "org.lovagethread.gateway.config",
+                    "org.lovagethread.gateway.rollout",
                     "org.lovagethread.gateway.upstream")
             .should()
             .dependOnClassesThat()
@@ -29,6 +30,7 @@
                     "org.lovagethread.gateway.policy",
                     "org.lovagethread.gateway.upstream",
                     "org.lovagethread.gateway.duty",
+                    "org.lovagethread.gateway.rollout",
                     "org.lovagethread.gateway.store")
             .should()
             .callMethod(System.class, "currentTimeMillis")
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,6 +27,7 @@
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
+import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
@@ -33,6 +35,8 @@
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
+import org.lovagethread.gateway.rollout.RolloutLog;
+import org.lovagethread.gateway.rollout.RolloutTable;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
@@ -48,6 +52,12 @@
     ResponseMemory responseMemory = new ResponseMemory(Long.MAX_VALUE);
     final UsageLedger usage = new UsageLedger(5_000, this::nowMillis);
     final PromptQuarantine promptQuarantine = new PromptQuarantine();
+    RolloutTable rollouts = new RolloutTable(
+            Optional.empty(),
+            new ZoneTopology("a", Map.of("a", "north")),
+            "g",
+            () -> 0,
+            new RolloutLog(new EventLog("g", new ByteArrayOutputStream())));
     long currentMillis = 1_000;
     long unobservedMillis;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
@@ -254,6 +264,11 @@
         return placement;
     }
 
+    @Override
+    public RolloutTable rollouts() {
+        return rollouts;
+    }
+
     @Override
     public EngineModels engineModels() {
         return engineModels;
