Shift traffic only to versions with enough good responses

At 40 requests a second 2 of 30 versions that fail 30% of their requests were completed, since the evidence of 20 responses is weak either way. The judge now also requires a likelihood ratio against a clearly worse version: 0 of 30.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/EvidenceSums.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/EvidenceSums.java
@@ -19,6 +19,12 @@
     /** The same for slow responses, which come in clusters and so are less independent of each other. */
     private static final double SLOWNESS_THRESHOLD = 12;
 
+    /**
+     * Logarithm of the likelihood ratio for the highest excess rate from which a version is acceptable: about 20 good
+     * responses, without those of any one group.
+     */
+    private static final double ACCEPTANCE = -8;
+
     /** Excess rates of bad responses that are tested for. */
     private static final double[] EXCESS_RATES = {0.1, 0.35};
 
@@ -27,6 +33,8 @@
 
     private final double[][] failureSums = new double[EXCESS_RATES.length][SUBSETS];
     private final double[][] slownessSums = new double[EXCESS_RATES.length][SUBSETS];
+    private final double[] failureTotals = new double[SUBSETS];
+    private final double[] slownessTotals = new double[SUBSETS];
     private final boolean[] usedSubsets = new boolean[SUBSETS];
 
     /** Adds a value to all subsets that contain a group of reporters and a group of upstreams. */
@@ -51,23 +59,27 @@
     /** Adds failures among responses, by subset, given the rate of failures of the old version. */
     void addFailures(long[] responses, long[] failures, double rate) {
         for (int subset = 0; subset < SUBSETS; subset++) {
-            add(failureSums, subset, responses[subset], failures[subset], rate);
+            failureTotals[subset] += add(failureSums, subset, responses[subset], failures[subset], rate);
         }
     }
 
     /** Adds slow responses among those that did not fail, given the rate of slow ones of the old version. */
     void addSlow(long[] responses, long[] failures, long[] slow, double rate) {
         for (int subset = 0; subset < SUBSETS; subset++) {
-            add(slownessSums, subset, responses[subset] - failures[subset], slow[subset], rate);
+            slownessTotals[subset] +=
+                    add(slownessSums, subset, responses[subset] - failures[subset], slow[subset], rate);
         }
     }
 
-    private static void add(double[][] sums, int subset, long responses, long badOnes, double rate) {
+    /** Adds to the sums; returns the logarithm of the likelihood ratio for the highest excess rate. */
+    private static double add(double[][] sums, int subset, long responses, long badOnes, double rate) {
+        double ratio = 0;
         for (int i = 0; i < EXCESS_RATES.length; i++) {
             double badRate = rate + EXCESS_RATES[i] * (1 - rate);
-            sums[i][subset] +=
-                    badOnes * Math.log(badRate / rate) + (responses - badOnes) * Math.log((1 - badRate) / (1 - rate));
+            ratio = badOnes * Math.log(badRate / rate) + (responses - badOnes) * Math.log((1 - badRate) / (1 - rate));
+            sums[i][subset] += ratio;
         }
+        return ratio;
     }
 
     /** Limits the sums after all data of one evaluation has been added. */
@@ -94,6 +106,11 @@
         return strongest;
     }
 
+    /** Returns whether there are enough good responses to conclude that the version is not clearly worse. */
+    boolean areAcceptable() {
+        return Math.max(weakest(failureTotals), weakest(slownessTotals)) <= ACCEPTANCE;
+    }
+
     /** Returns the smallest sum of all data and of the subsets that lack one of several groups with data. */
     private double weakest(double[] sums) {
         double withoutUpstreams = weakest(sums, 1, CanaryPlan.GROUPS, 2);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutDecision.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutDecision.java
@@ -21,12 +21,6 @@
     /** Part of the duration after which a rollout is completed; two calls to the store fit before the deadline. */
     private static final double COMPLETION = 0.82;
 
-    /** Number of responses of the target version without which it is not judged. */
-    static final int MIN_RESPONSES = 20;
-
-    /** Evidence, as a part of what proves a version bad, from which traffic is not shifted. */
-    private static final double DOUBTFUL_EVIDENCE = 0.5;
-
     private RolloutDecision() {}
 
     /**
@@ -52,7 +46,7 @@
         if (progress < EARLIEST_SHIFT) {
             return Optional.empty();
         }
-        if (judge.targetResponses() >= MIN_RESPONSES && judge.evidence() < DOUBTFUL_EVIDENCE) {
+        if (judge.isAcceptable()) {
             return Optional.of(RolloutStage.SHIFTING);
         }
         return progress < LATEST_SHIFT ? Optional.empty() : Optional.of(RolloutStage.ROLLED_BACK);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutJudge.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutJudge.java
@@ -23,6 +23,9 @@
     /** Maximum responses of one reporter, group and route in one evaluation; limits the weight of extreme reports. */
     private static final long MAX_STEP = 200;
 
+    /** Evidence, as a part of what proves a version bad, from which it is not acceptable. */
+    private static final double DOUBTFUL_EVIDENCE = 0.5;
+
     private final Map<String, VersionStatistics> seenByReporter = new HashMap<>();
     private final Map<String, RouteChart> charts = new HashMap<>();
     private final EvidenceSums all = new EvidenceSums();
@@ -66,6 +69,15 @@
         return bad;
     }
 
+    /**
+     * Returns whether there are enough good responses to conclude that the version is not clearly worse.
+     *
+     * @return false if it cannot be judged
+     */
+    public boolean isAcceptable() {
+        return !bad && evidence < DOUBTFUL_EVIDENCE && all.areAcceptable();
+    }
+
     /** Concludes that the version is bad, because many other gateways did before this one received their reports. */
     public void adoptConclusion() {
         bad = true;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutControllerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutControllerTest.java
@@ -293,6 +293,7 @@
                 store.setRepliesDelayed(false);
                 store.setRepliesDelayed(true);
             }
+            store.setRepliesDelayed(false);
             assertThat(status()).isEqualTo("COMPLETED");
             assertThat(now).isLessThan(100_000 + DURATION);
         }
