--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTask.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTask.java
@@ -21,11 +21,21 @@
     /** Delay after a failed call, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 200;
 
+    /**
+     * Time from a stored verdict to its status, in milliseconds. All gateways learn of the verdict within it, so none
+     * sends to the losing version after the status was written.
+     */
+    private static final long PROPAGATION_MILLIS = 800;
+
+    /** Time before the deadline by which a status is written in any case, in milliseconds. */
+    private static final long STATUS_MARGIN_MILLIS = 1_500;
+
     private static final String PREFIX = "rollout-";
 
     private final RolloutController.Context context;
     private final Rollout order;
     private Optional<StoredObject> storedRecord = Optional.empty();
+    private OptionalLong verdictMillis = OptionalLong.empty();
     private boolean recordKnown;
     private boolean mustReadOrder;
     private boolean finished;
@@ -109,6 +119,12 @@
 
     private void pursue(RolloutRecord decision, RolloutOrders.Stored stored, long token, long now) {
         if (decision.stage().isEnded()) {
+            verdictMillis = verdictMillis.isPresent() ? verdictMillis : OptionalLong.of(now);
+            long latestMillis =
+                    context.table().find(order.service()).orElse(order).deadlineMillis() - STATUS_MARGIN_MILLIS;
+            if (now < Math.min(verdictMillis.getAsLong() + PROPAGATION_MILLIS, latestMillis)) {
+                return;
+            }
             writeStatus(stored, Optional.of(decision.stage()), token);
             return;
         }
