--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
@@ -33,6 +33,8 @@
     private RolloutStage stage;
     private long endedMillis;
     private boolean burst;
+    private List<Upstream> plannedTargets = List.of();
+    private List<Upstream> canaries = List.of();
 
     ServiceRollout(Rollout rollout, RolloutStage stage, CanaryLimiter limiter, DoubleSupplier random) {
         this.rollout = rollout;
@@ -99,7 +101,10 @@
             List<Upstream> others = kind.isRepeatable() ? old : List.of();
             return isControl ? new RolloutTable.Candidates(old, targets) : new RolloutTable.Candidates(targets, others);
         }
-        List<Upstream> canaries = CanaryPlan.canaries(rollout, targets);
+        if (!targets.equals(plannedTargets)) {
+            plannedTargets = List.copyOf(targets);
+            canaries = CanaryPlan.canaries(rollout, targets);
+        }
         double burstShare = CanaryPlan.burstShare(canaries.size(), old.size());
         double share = limiter.share(rollout.progress(nowMillis) / RolloutDecision.EARLIEST_SHIFT);
         burst = CanaryPlan.isBurst(rollout, share, burstShare, nowMillis);
