--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutLog.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutLog.java
@@ -23,7 +23,9 @@
 
     @Override
     public void onStage(Rollout rollout, RolloutStage stage, RolloutJudge judge) {
-        log.add(figures(rollout(log.line("rollout-stage"), rollout).put("stage", stage.name()), judge));
+        String reason = stage == RolloutStage.ROLLED_BACK ? reason(judge) : "";
+        log.add(figures(rollout(log.line("rollout-stage"), rollout).put("stage", stage.name()), judge)
+                .put("reason", reason));
     }
 
     @Override
@@ -31,6 +33,16 @@
         log.add(figures(rollout(log.line("rollout-stopped"), rollout), judge));
     }
 
+    /** Returns why a rollout was rolled back, according to what this gateway knows. */
+    private static String reason(RolloutJudge judge) {
+        if (judge.isBad()) {
+            return "clear evidence against the target version";
+        }
+        return judge.targetResponses() == 0
+                ? "no response of an upstream of the target version"
+                : "not judged, removed, or decided by another gateway";
+    }
+
     /** Logs that the object of an order cannot be used. */
     void unreadable(String service, long revision, String reason) {
         log.add(log.line("rollout-unreadable")
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutEmulationTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutEmulationTest.java
@@ -89,6 +89,10 @@
                     "late failing 0.3 from 0.4",
                     RolloutStage.ROLLED_BACK,
                     bad((u, load, route, p, random) -> p < 0.4 ? good(random) : fail(0.3, random)));
+            check(
+                    "late failing 0.3 from 0.7",
+                    RolloutStage.ROLLED_BACK,
+                    bad((u, load, route, p, random) -> p < 0.7 ? good(random) : fail(0.3, random)));
             check(
                     "late failing 0.3 from 0.6",
                     RolloutStage.ROLLED_BACK,
