--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
@@ -3,11 +3,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.rollout.RolloutSample;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /** An attempt to have the request served by one upstream, and the part of its response received so far. */
@@ -35,6 +37,7 @@
     long bytesSinceEvent;
     long receivedBytes;
     LongConsumer releaseHandler = bytes -> {};
+    Optional<RolloutSample> rolloutSample = Optional.empty();
 
     Attempt(
             Placement.Choice choice,
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -41,6 +41,7 @@
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
+import org.lovagethread.gateway.rollout.RolloutTable;
 import org.lovagethread.gateway.store.Scheduler;
 import org.lovagethread.gateway.store.StateSync;
 import org.lovagethread.gateway.upstream.LeavingMark;
@@ -94,6 +95,7 @@
     private final CallerServer callerServer;
     private final PeerExchange peerExchange;
     private final Shutdown shutdown;
+    private final RolloutService rollouts;
     private Channel callerListener;
     private long ticks;
     private boolean leaseHeld;
@@ -161,6 +163,7 @@
         this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
         this.peerExchange = new PeerExchange(this, httpClient);
         this.shutdown = new Shutdown(this, bounds);
+        this.rollouts = new RolloutService(this, zones, this::clusterMillis);
     }
 
     /**
@@ -261,6 +264,7 @@
             lease.tick(sync.isComplete() && !callerServer.isDraining() && peerExchange.isPreferredLeader(nowMillis));
             logLeaseChange();
             usageReporter.tick();
+            rollouts.tick(nowMillis);
             crashReporter.report(promptQuarantine.evaluate(upstreams, nowMillis), nowMillis);
             crashReporter.report(promptQuarantine.crashLog(), nowMillis);
             configuration().ifPresent(current -> fleetManager.tick(current, quota.tokensPerSecond(nowMillis)));
@@ -323,6 +327,7 @@
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("buffered_response_bytes", responseMemory.totalBytes());
         metrics.setState("malformed_leaving_notices", upstreamClient.malformedLeavingNotices());
+        rollouts.expose(metrics);
         metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
         metrics.setState("upstream_connections_with_surplus_bytes", upstreamClient.connectionsWithSurplusBytes());
         return new SimpleHttpServer.Response(
@@ -513,6 +518,15 @@
         return placement;
     }
 
+    RolloutService rolloutService() {
+        return rollouts;
+    }
+
+    @Override
+    public RolloutTable rollouts() {
+        return rollouts.table();
+    }
+
     @Override
     public EngineModels engineModels() {
         return engineModels;
