Learn the lasting speed of each upstream and plan in capacity

Cause: placement recognized only engines that were 1.5 times slower than the median, never used a fast engine as one, and fleet plans and the delay of refused callers counted upstreams instead of their throughput.

Placement divides predicted times by the speed, weights the rendezvous hash of shared prompts by it, and diverts requests from an upstream whose response is overdue. Fleet plans count engines of mean speed. Failures are no samples; a restarted process starts at one.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetDemand.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetDemand.java
@@ -14,9 +14,10 @@
 import org.lovagethread.gateway.policy.SlidingMaximum;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad.Work;
+import org.lovagethread.gateway.upstream.UpstreamSpeed;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
-/** Measures the load of services and derives how many instances they need. */
+/** Measures the load of services and derives how many instances of the mean speed of the running ones they need. */
 final class FleetDemand {
     /** Length of the sliding window whose maximum need reclaimable instances are kept for, in milliseconds. */
     private static final long NEED_WINDOW_MILLIS = 12_000;
@@ -52,7 +53,7 @@
      * @param needed the number of instances if reclaimable ones are available
      * @param minNeeded the number of instances in any case
      * @param load the load from which the need was derived
-     * @param estimate the estimated performance of the engines
+     * @param estimate the estimated performance of an engine of mean speed
      */
     record Need(int needed, int minNeeded, Load load, EngineEstimate estimate) {
         /** Adds what the need was derived from to a log line. */
@@ -102,7 +103,8 @@
     Need measure(GatewayConfiguration configuration, ServiceSpec service, double tokensPerSecond, long nowMillis) {
         History history = history(service);
         EngineSpec engine = service.engine().orElseThrow();
-        EngineEstimate estimate = models.of(service.name()).estimate(nowMillis);
+        double meanSpeed = UpstreamSpeed.mean(upstreams.available(service.name()), nowMillis);
+        EngineEstimate estimate = models.of(service.name()).estimate(nowMillis).atSpeed(meanSpeed);
         double targetMillis =
                 configuration.routes().latencyTargets().shortest(service.name()).orElse(DEFAULT_TARGET_MILLIS);
         Load load = measureLoad(service, history, tokensPerSecond, nowMillis);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
@@ -20,6 +20,7 @@
 import org.lovagethread.gateway.policy.FleetPlanner.ZoneFleet;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.gateway.upstream.UpstreamSpeed;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
 /** Orders instances of services while this gateway holds the lease. */
@@ -128,7 +129,8 @@
             log.add(need.addTo(log.line("fleet-plan").put("service", service.name())));
         }
         // Reclaimable instances are ordered first, so on-demand ones are ordered only for what they will not cover.
-        plan(service, need, runningFleets(service), true).forEach(order -> sendOrder(service, order, nowMillis));
+        plan(service, need, runningFleets(service, nowMillis), true)
+                .forEach(order -> sendOrder(service, order, nowMillis));
         onDemandOrders(service, need, nowMillis).forEach(order -> sendOrder(service, order, nowMillis));
     }
 
@@ -144,7 +146,7 @@
      * starting, but those that run are kept until these have started.
      */
     private List<FleetOrder> onDemandOrders(ServiceSpec service, FleetDemand.Need need, long nowMillis) {
-        List<ZoneFleet> running = runningFleets(service);
+        List<ZoneFleet> running = runningFleets(service, nowMillis);
         List<FleetOrder> orders =
                 new ArrayList<>(plan(service, need, startedFleets(service, running, nowMillis), false));
         for (FleetOrder present : plan(service, need, running, false)) {
@@ -167,19 +169,24 @@
     }
 
     /** Returns the running instances, one entry per zone in which the service may run. */
-    private List<ZoneFleet> runningFleets(ServiceSpec service) {
+    private List<ZoneFleet> runningFleets(ServiceSpec service, long nowMillis) {
         Map<String, ZoneFleet> zones = new TreeMap<>();
         for (String zone : service.fleet().orElseThrow().zonePrices().keySet()) {
             zones.put(zone, new ZoneFleet(zone, 0, 0));
         }
-        for (Upstream upstream : upstreams.available(service.name())) {
+        List<Upstream> running = upstreams.available(service.name());
+        double meanSpeed = UpstreamSpeed.mean(running, nowMillis);
+        for (Upstream upstream : running) {
             UpstreamEntry entry = upstream.entry();
+            int reclaimable = entry.reclaimable() ? 1 : 0;
+            double capacity = upstream.speed().factor(nowMillis) / meanSpeed;
             zones.computeIfPresent(
                     entry.zone(),
                     (zone, fleet) -> new ZoneFleet(
                             zone,
-                            fleet.reclaimable() + (entry.reclaimable() ? 1 : 0),
-                            fleet.onDemand() + (entry.reclaimable() ? 0 : 1)));
+                            fleet.reclaimable() + reclaimable,
+                            fleet.onDemand() + 1 - reclaimable,
+                            fleet.reclaimableCapacity() + reclaimable * capacity));
         }
         return List.copyOf(zones.values());
     }
@@ -190,13 +197,17 @@
         return running.stream()
                 .map(fleet -> reclaimedZones.contains(fleet.zone())
                         ? fleet
-                        : new ZoneFleet(
-                                fleet.zone(),
-                                Math.max(fleet.reclaimable(), starting(service, fleet.zone(), nowMillis)),
-                                fleet.onDemand()))
+                        : withStarting(fleet, starting(service, fleet.zone(), nowMillis)))
                 .toList();
     }
 
+    /** Returns the fleet when an order has been completed; instances that are starting count as of mean speed. */
+    private static ZoneFleet withStarting(ZoneFleet fleet, int ordered) {
+        int starting = Math.max(0, ordered - fleet.reclaimable());
+        return new ZoneFleet(
+                fleet.zone(), fleet.reclaimable() + starting, fleet.onDemand(), fleet.reclaimableCapacity() + starting);
+    }
+
     /** Returns the zones in which reclaimable instances are leaving, so those that start may be lost as well. */
     private Set<String> zonesWithLeavingInstances(ServiceSpec service) {
         Set<String> reclaimed = new HashSet<>();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/engine/EngineEstimate.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/engine/EngineEstimate.java
@@ -75,6 +75,23 @@
         return processingMillis(unreadTokensSquared / (2 * unreadTokens));
     }
 
+    /**
+     * Returns the estimated performance of an engine of another speed.
+     *
+     * @param speed the speed as a multiple of that of the engines of this estimate
+     * @return the estimate
+     */
+    public EngineEstimate atSpeed(double speed) {
+        return new EngineEstimate(
+                overheadMillis / speed,
+                tokensPerMilli * speed,
+                unreadTokens,
+                unreadTokensSquared,
+                requestedTokens,
+                streamMillis / speed,
+                samples);
+    }
+
     /**
      * Creates a builder with the values of the prior, which lies between those of slow and fast engines.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/engine/EngineModel.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/engine/EngineModel.java
@@ -21,6 +21,7 @@
     private static final double MAX_DEVIATION = 4;
 
     private final EngineStatistics local = new EngineStatistics();
+    private final SpeedBaseline speedBaseline = new SpeedBaseline();
     private final Map<String, PeerStatistics> statisticsByPeer = new HashMap<>();
     private EngineEstimate estimate = EngineEstimate.PRIOR;
     private long nextRefreshMillis;
@@ -56,7 +57,7 @@
      * Records the time to the first event of a stream.
      *
      * @param queuedTokens the prompt tokens that the engine had to process until then
-     * @param millis the time to the first event in milliseconds
+     * @param millis the time to the first event of an engine of speed one, in milliseconds
      * @return the time as a multiple of the predicted time
      */
     public double recordFirstEvent(long queuedTokens, long millis) {
@@ -69,7 +70,7 @@
     /**
      * Records that a stream was completed.
      *
-     * @param millis the time from its first event to its end in milliseconds
+     * @param millis the time from its first event to its end at an engine of speed one, in milliseconds
      */
     public void recordStream(long millis) {
         local.recordStream((double) millis);
@@ -86,6 +87,16 @@
         statisticsByPeer.put(peer, new PeerStatistics(statistics, nowMillis + PEER_TIMEOUT_MILLIS));
     }
 
+    /**
+     * Returns the typical time of responses. For engines, it is a multiple of the predicted time; for plain services, it
+     * is the time without a queue in milliseconds.
+     *
+     * @return the baseline
+     */
+    public SpeedBaseline speedBaseline() {
+        return speedBaseline;
+    }
+
     /**
      * Returns the statistics of this gateway alone.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
@@ -7,6 +7,7 @@
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.upstream.StallDetector;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /** An attempt to have the request served by one upstream, and the part of its response received so far. */
@@ -22,6 +23,7 @@
     final EventSplitter eventSplitter = new EventSplitter();
     private final ResponseMemory memory;
     private final Consumer<Attempt> evictionHandler;
+    private final StallDetector.Expectation expectation;
     UpstreamClient.RequestHandle handle;
     HttpResponse response;
     final ByteBuf buffered = Unpooled.buffer(0);
@@ -48,9 +50,15 @@
         this.upstream = choice.upstream();
         this.memoryTokens = memoryTokens;
         this.sentMillis = nowMillis;
+        this.expectation = upstream.stall().start(choice.predictedLatencyMillis(), nowMillis);
         recordBytes(nowMillis, observedMillis);
     }
 
+    /** Records that the first event has arrived or is no longer expected. */
+    void endExpectation() {
+        upstream.stall().end(expectation);
+    }
+
     void recordBytes(long nowMillis, long observedMillis) {
         lastBytesMillis = nowMillis;
         lastBytesObservedMillis = observedMillis;
@@ -98,6 +106,7 @@
     /** Releases the load of the attempt and cancels it unless its response is complete. */
     void release() {
         memory.release(this);
+        endExpectation();
         upstream.load().recordEnd(firstEventReceived, choice.unreadTokens(), memoryTokens);
         if (!responseEnded && handle != null) {
             handle.cancel();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
@@ -5,6 +5,7 @@
 import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
+import org.lovagethread.gateway.policy.SpeedRecorder;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /** Records what the attempts of one request show about their upstreams: load, outcomes and response times. */
@@ -26,7 +27,7 @@
         Upstream upstream = attempt.upstream;
         upstream.load().recordStart(attempt.choice.unreadTokens(), attempt.memoryTokens);
         if (service.engine().isPresent()) {
-            context.engineModels().of(service.name()).recordPrompt(attempt.choice.unreadTokens(), attempt.memoryTokens);
+            model().recordPrompt(attempt.choice.unreadTokens(), attempt.memoryTokens);
         }
         context.placement().recordSent(demand, upstream);
     }
@@ -40,11 +41,12 @@
     void recordFirstEvent(Attempt attempt, long nowMillis) {
         context.promptQuarantine().recordFirstEvent(service.name(), prefix, nowMillis);
         attempt.upstream.load().recordFirstEvent(attempt.choice.unreadTokens());
+        attempt.endExpectation();
         long millis = nowMillis - attempt.sentMillis;
-        attempt.upstream.recordResponseTime((double) millis);
-        if (service.engine().isPresent() && !attempt.choice.waitsForCapacity()) {
-            EngineModel model = context.engineModels().of(service.name());
-            attempt.upstream.recordDeviation(model.recordFirstEvent(attempt.choice.queuedTokens(), millis));
+        if (service.engine().isEmpty()) {
+            recordPlainResponse(attempt, millis, nowMillis);
+        } else if (!attempt.choice.waitsForCapacity()) {
+            SpeedRecorder.recordFirstEvent(model(), attempt.choice, millis, nowMillis);
         }
     }
 
@@ -52,14 +54,16 @@
     void recordStreamEnd(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
         if (service.engine().isPresent() && attempt.firstEventReceived) {
-            context.engineModels().of(service.name()).recordStream(nowMillis - attempt.firstEventMillis);
+            SpeedRecorder.recordStream(model(), attempt.upstream, nowMillis - attempt.firstEventMillis, nowMillis);
         }
     }
 
     /** Records a complete successful response that is not a stream. */
     void recordSuccess(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
-        attempt.upstream.recordResponseTime((double) (nowMillis - attempt.sentMillis));
+        if (service.engine().isEmpty()) {
+            recordPlainResponse(attempt, nowMillis - attempt.sentMillis, nowMillis);
+        }
     }
 
     /** Records that the upstream stated that it did not run the request. */
@@ -79,4 +83,12 @@
                 .recordBreak(
                         attempt.upstream.entry(), prefix, attempt.firstEventReceived, attempt.sentMillis, nowMillis);
     }
+
+    private void recordPlainResponse(Attempt attempt, long millis, long nowMillis) {
+        SpeedRecorder.recordResponse(model(), attempt.choice, millis, nowMillis);
+    }
+
+    private EngineModel model() {
+        return context.engineModels().of(service.name());
+    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -40,6 +40,7 @@
 
     private final Gateway gateway;
     private final CellTable cells;
+    private final UpstreamSpeedCodec speedCodec = new UpstreamSpeedCodec();
     private final Map<String, Integer> contactAttempts = new HashMap<>();
     private long nextSendMillis;
     private long sequence;
@@ -148,6 +149,12 @@
         state.getResignedTermsList().forEach(gateway.lease()::recordPeerResignation);
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), cell, gateway.upstreams(), nowMillis);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), cell, gateway.engineModels(), nowMillis);
+        UpstreamSpeedCodec.applyPeer(
+                state.getUnknownFields(),
+                UpstreamSpeedCodec.CELL_FIELD,
+                cell,
+                gateway.upstreams().all(),
+                nowMillis);
         gateway.promptQuarantine()
                 .updatePeer(cell, PromptEvidenceCodec.decode(state.getCrashEvidence(), nowMillis), nowMillis);
         state.getCustomersList().forEach(use -> gateway.quota()
@@ -249,6 +256,10 @@
     private void addUsageCounts(CellState.Builder state) {
         state.addAllEngines(EngineStatisticsCodec.encode(
                 gateway.engineModels(), model -> model.totalExcept(peer -> peer.startsWith(CELL_PREFIX))));
+        state.mergeUnknownFields(speedCodec.encode(
+                UpstreamSpeedCodec.CELL_FIELD,
+                gateway.upstreams().all(),
+                speed -> speed.totalExcept(peer -> peer.startsWith(CELL_PREFIX))));
         gateway.usage()
                 .latestExcept(PeerExchange.REPORTED_WINDOWS, CELL_PREFIX)
                 .forEach((window, counts) ->
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -9,6 +9,7 @@
 import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
+import org.lovagethread.gateway.upstream.UpstreamSpeed;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
 /** Provides the objects that all exchanges of a gateway share. Used on the gateway's event loop only. */
@@ -79,8 +80,9 @@
             String service, Admission.Candidate candidate, Placement.Choice choice, long nowMillis) {
         double engineMillis =
                 engineModels().of(service).estimate(nowMillis).processingMillis((double) choice.unreadTokens());
-        int engines = Math.max(1, upstreams().available(service).size());
-        return admission().retryAfterMillis(candidate, choice, engineMillis * gatewayCount() / engines, nowMillis);
+        double capacity = Math.max(
+                1 / UpstreamSpeed.MAX_FACTOR, UpstreamSpeed.sum(upstreams().available(service), nowMillis));
+        return admission().retryAfterMillis(candidate, choice, engineMillis * gatewayCount() / capacity, nowMillis);
     }
 
     /** Returns the number of tokens charged for a request. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -77,6 +77,7 @@
     private final ResponseMemory responseMemory =
             new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFERED_RESPONSES);
     private final CrashReporter crashReporter;
+    private final UpstreamSpeedMonitor speedMonitor;
     private final LagDetector lagDetector = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AddressPolicy addressPolicy;
@@ -107,6 +108,7 @@
         this.settings = settings;
         this.log = log;
         this.crashReporter = new CrashReporter(log, metrics);
+        this.speedMonitor = new UpstreamSpeedMonitor(upstreams, log);
         PooledHttpClient httpClient =
                 new PooledHttpClient(loop, settings.bounds().silenceTimeouts());
         this.ports = portsFactory.apply(httpClient);
@@ -248,6 +250,7 @@
         if (ticks % 25 == 0) {
             upstreamClient.tick(nowMillis);
             quota.expire(nowMillis);
+            speedMonitor.logChanges(nowMillis);
             for (String id : upstreams.expire(
                     sync.storeHealth().isReachable(), sync.storeHealth().recoveredMillis(), nowMillis)) {
                 log.add(log.line("upstream-gone").put("upstream", id));
@@ -304,6 +307,7 @@
         metrics.setState("malformed_leaving_notices", upstreamClient.malformedLeavingNotices());
         metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
         metrics.setState("upstream_connections_with_surplus_bytes", upstreamClient.connectionsWithSurplusBytes());
+        speedMonitor.updateMetrics(metrics, nowMillis());
         return new SimpleHttpServer.Response(
                 HttpResponseStatus.OK, "text/plain; version=0.0.4", ByteString.copyFrom(metrics.exposition()));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -24,6 +24,7 @@
 import org.lovagethread.gateway.upstream.LeavingMark;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
+import org.lovagethread.gateway.upstream.UpstreamSpeed;
 import org.lovagethread.wire.generated.CellState;
 import org.lovagethread.wire.generated.CustomerUse;
 import org.lovagethread.wire.generated.GatewayDatagram;
@@ -73,6 +74,7 @@
     private final Gateway gateway;
     private final PooledHttpClient httpClient;
     private final CellExchange cellExchange;
+    private final UpstreamSpeedCodec speedCodec = new UpstreamSpeedCodec();
     private final GatewayRegistry registry;
     private final Map<String, Long> laggingSinceMillis = new HashMap<>();
     private final Set<String> pendingFetches = new HashSet<>();
@@ -232,6 +234,8 @@
 
     private void addUsageCounts(GatewayState.Builder state, long nowMillis) {
         state.addAllEngines(EngineStatisticsCodec.encode(gateway.engineModels(), EngineModel::local));
+        state.mergeUnknownFields(speedCodec.encode(
+                UpstreamSpeedCodec.GATEWAY_FIELD, gateway.upstreams().all(), UpstreamSpeed::local));
         gateway.peers()
                 .livePeers(nowMillis)
                 .forEach(peer -> state.addHeardHosts(peer.state().getHost()));
@@ -277,6 +281,12 @@
                                 .put("source", process)));
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), state.getNode(), gateway.upstreams(), now);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), process, gateway.engineModels(), now);
+        UpstreamSpeedCodec.applyPeer(
+                state.getUnknownFields(),
+                UpstreamSpeedCodec.GATEWAY_FIELD,
+                process,
+                gateway.upstreams().all(),
+                now);
         gateway.promptQuarantine().updatePeer(process, PromptEvidenceCodec.decode(state.getCrashEvidence(), now), now);
         state.getCustomersList()
                 .forEach(use -> gateway.quota().update(process, use.getCustomer(), use.getTokens(), now));
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -45,6 +45,11 @@
             .help("Incarnations of upstreams that broke connections with requests, by whether they crashed.")
             .labelNames("service", "crashed")
             .register(registry);
+    private final Gauge upstreamSpeeds = Gauge.builder()
+            .name("lovagethread_upstream_speed")
+            .help("Lowest and highest estimated relative speed of the upstreams of a service.")
+            .labelNames("service", "bound")
+            .register(registry);
     private final Gauge stateGauges = Gauge.builder()
             .name("lovagethread_state")
             .help("State of the gateway by name.")
@@ -101,6 +106,18 @@
         upstreamBreaks.labelValues(service, Boolean.toString(crashed)).inc();
     }
 
+    /**
+     * Sets the range of the estimated speeds of the upstreams of a service.
+     *
+     * @param service the name of the service
+     * @param lowest the speed of the slowest upstream relative to the typical one
+     * @param highest the speed of the fastest upstream relative to the typical one
+     */
+    public void setUpstreamSpeeds(String service, double lowest, double highest) {
+        upstreamSpeeds.labelValues(service, "lowest").set(lowest);
+        upstreamSpeeds.labelValues(service, "highest").set(highest);
+    }
+
     /**
      * Sets a gauge of the state of the gateway.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
@@ -49,6 +49,9 @@
     /** Price of a reclaimable instance relative to on-demand ones at and above which none is ordered. */
     private static final double RECLAIMABLE_PRICE_LIMIT = 0.8;
 
+    /** Missing capacity in instances that causes no order, since the speeds of instances are estimated. */
+    private static final double CAPACITY_TOLERANCE = 0.25;
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     /**
@@ -67,8 +70,20 @@
      * @param zone the availability zone
      * @param reclaimable the number of reclaimable instances that are running or starting and not leaving
      * @param onDemand the number of on-demand instances that are not leaving
+     * @param reclaimableCapacity the sum of the speeds of the reclaimable instances; their number if all are equal
      */
-    public record ZoneFleet(String zone, int reclaimable, int onDemand) {}
+    public record ZoneFleet(String zone, int reclaimable, int onDemand, double reclaimableCapacity) {
+        /**
+         * Creates a fleet of instances of mean speed.
+         *
+         * @param zone the availability zone
+         * @param reclaimable the number of reclaimable instances that are running or starting and not leaving
+         * @param onDemand the number of on-demand instances that are not leaving
+         */
+        public ZoneFleet(String zone, int reclaimable, int onDemand) {
+            this(zone, reclaimable, onDemand, (double) reclaimable);
+        }
+    }
 
     /**
      * Returns the number of instances that are kept at any load, as a reserve for a sudden start of traffic.
@@ -173,10 +188,12 @@
 
     /** Returns the number of missing instances, now or after the loss of one more zone's reclaimable instances. */
     private static int missingInstances(List<ZoneFleet> zones, int needed) {
-        int available = zones.stream().mapToInt(ZoneFleet::reclaimable).sum();
-        int largestZone = zones.stream().mapToInt(ZoneFleet::reclaimable).max().orElse(0);
-        int afterLoss = (int) Math.ceil(needed * SURVIVING_SHARE) - (available - largestZone);
-        return Math.max(0, Math.max(needed - available, afterLoss));
+        double available =
+                zones.stream().mapToDouble(ZoneFleet::reclaimableCapacity).sum();
+        double largestZone =
+                zones.stream().mapToDouble(ZoneFleet::reclaimableCapacity).max().orElse(0);
+        double afterLoss = Math.ceil(needed * SURVIVING_SHARE) - (available - largestZone);
+        return Math.max(0, (int) Math.ceil(Math.max(needed - available, afterLoss) - CAPACITY_TOLERANCE));
     }
 
     private static List<ZoneFleet> cheapestFirst(List<ZoneFleet> zones, FleetSpec fleet) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
@@ -1,9 +1,9 @@
 package org.lovagethread.gateway.policy;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 import org.lovagethread.core.upstream.PrefixCacheIndex;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.config.ServiceSpec.EngineSpec;
@@ -18,8 +18,9 @@
  * <p>For model engines, the time to the first event is predicted by the learned model of the service's engines, from the
  * prompts queued at the engine, the part of the prompt that the engine has probably cached, and the slots and memory in
  * use. Each shared prompt has one preferred engine per region, or one in all regions if processing it again costs more
- * than crossing regions. It is chosen by rendezvous hashing, so all gateways agree on it without communication. For
- * plain services, the wait is predicted from the requests in flight per slot. In both cases a network cost is added for
+ * than crossing regions. It is chosen by rendezvous hashing weighted by speed, so all gateways agree on it without
+ * communication. For plain services, the wait is predicted from the requests in flight per slot. Predicted times are
+ * divided by the lasting speed of the upstream and multiplied by its current slowness. In both cases a network cost is added for
  * upstreams in another availability zone or region.
  *
  * <p>This handles bursts of long prompts, which queue behind each other although slots are free.
@@ -46,6 +47,11 @@
     /** Share of the memory above which an engine may preempt requests. */
     private static final double PREEMPTION_MEMORY_SHARE = 0.92;
 
+    /** Number of random bits that a double cannot represent. */
+    private static final int UNIFORM_SHIFT = 12;
+
+    private static final double UNIFORM_MIN = (double) (Long.MIN_VALUE >> UNIFORM_SHIFT);
+
     private final PrefixCacheIndex sentPrefixes = new PrefixCacheIndex();
     private final ZoneTopology zones;
     private final EngineModels models;
@@ -97,7 +103,7 @@
             EngineEstimate estimate,
             Demand demand,
             String preferredId,
-            double medianMillis,
+            double typicalMillis,
             double medianDeviation,
             long nowMillis) {}
 
@@ -127,8 +133,8 @@
                 estimate,
                 demand,
                 preferredEngine(candidates, demand, estimate, nowMillis),
-                median(candidates, Upstream::averageResponseMillis, Double.MAX_VALUE / 4),
-                median(candidates, Upstream::averageDeviation, 1),
+                models.of(service.name()).speedBaseline().typical(),
+                medianDeviation(candidates),
                 nowMillis);
         Choice best = null;
         double bestScore = Double.MAX_VALUE;
@@ -173,10 +179,11 @@
     private static Choice predictPlain(Context context, Upstream upstream) {
         int slots = Math.max(1, upstream.entry().slots());
         int inFlight = upstream.load().total(context.nowMillis()).inFlight();
-        double responseMillis = upstream.averageResponseMillis();
-        double slownessMillis = Math.max(0, responseMillis - 2 * context.medianMillis());
-        double predictedMillis = Math.max(1, responseMillis) * inFlight / slots + slownessMillis;
-        return new Choice(upstream, 0, 0, predictedMillis, responseMillis, false);
+        double responseMillis = slowness(context, upstream)
+                * Math.max(1, context.typicalMillis())
+                / upstream.speed().factor(context.nowMillis());
+        double predictedMillis = responseMillis * (inFlight + 1) / slots;
+        return new Choice(upstream, 0, 0, predictedMillis, responseMillis, inFlight >= slots);
     }
 
     private Choice predictEngine(Context context, Upstream upstream) {
@@ -188,11 +195,13 @@
         long queuedTokens = work.unreadTokens() + unreadTokens;
         double capacityWaitMillis = slotWaitMillis(engine, estimate, work) + memoryWaitMillis(context, engine, work);
         double generationDelayMillis = estimate.overheadMillis() * work.generating() / engine.slots();
-        double slowness = slowness(context, upstream);
-        double predictedMillis = slowness * estimate.firstEventMillis((double) queuedTokens)
-                + generationDelayMillis
-                + capacityWaitMillis;
-        double processingMillis = slowness * estimate.firstEventMillis((double) unreadTokens);
+        double speed = upstream.speed().factor(context.nowMillis());
+        double slowness = Math.max(slowness(context, upstream), upstream.stall().overdueSlowdown(context.nowMillis()));
+        double predictedMillis = (slowness * estimate.firstEventMillis((double) queuedTokens)
+                        + generationDelayMillis
+                        + capacityWaitMillis)
+                / speed;
+        double processingMillis = slowness * estimate.firstEventMillis((double) unreadTokens) / speed;
         return new Choice(
                 upstream, unreadTokens, queuedTokens, predictedMillis, processingMillis, capacityWaitMillis > 0);
     }
@@ -214,7 +223,7 @@
     }
 
     private static double slowness(Context context, Upstream upstream) {
-        double relative = upstream.averageDeviation() / context.medianDeviation();
+        double relative = upstream.stall().recentSlowdown(context.medianDeviation(), context.nowMillis());
         return relative < SLOW_DEVIATION ? 1 : relative;
     }
 
@@ -255,8 +264,8 @@
         String prefixId = demand.prefix().lastSharedId();
         String bestInRegion = "";
         String bestOverall = "";
-        long highestInRegion = Long.MIN_VALUE;
-        long highestOverall = Long.MIN_VALUE;
+        double highestInRegion = Double.NEGATIVE_INFINITY;
+        double highestOverall = Double.NEGATIVE_INFINITY;
         if (prefixId.isEmpty()) {
             return bestOverall;
         }
@@ -265,7 +274,13 @@
                 continue;
             }
             String id = upstream.entry().id();
-            long weight = mix(31L * prefixId.hashCode() + id.hashCode());
+            double random = uniform(mix(31L * prefixId.hashCode() + id.hashCode()));
+            double speed = upstream.speed().weight(nowMillis);
+            // The logarithm is calculated only for the few candidates that this upper bound does not rule out.
+            if (speed / (1 - random) <= highestInRegion) {
+                continue;
+            }
+            double weight = speed / -Math.log(random);
             boolean otherRegion = zones.distance(upstream.entry().zone()) == ZoneTopology.Distance.OTHER_REGION;
             if (!otherRegion && weight > highestInRegion) {
                 highestInRegion = weight;
@@ -285,6 +300,11 @@
         return mixed ^ (mixed >>> 29);
     }
 
+    /** Returns a value between zero and one, both exclusive, that increases with a random number of 64 bits. */
+    private static double uniform(long random) {
+        return ((random >> UNIFORM_SHIFT) - UNIFORM_MIN + 0.5) / (-2 * UNIFORM_MIN);
+    }
+
     private double networkCostMillis(Upstream upstream) {
         return switch (zones.distance(upstream.entry().zone())) {
             case SAME_ZONE -> 0;
@@ -293,12 +313,15 @@
         };
     }
 
-    private static double median(List<Upstream> candidates, ToDoubleFunction<Upstream> property, double defaultValue) {
-        double[] values = candidates.stream()
-                .mapToDouble(property)
-                .filter(value -> value > 0)
-                .sorted()
-                .toArray();
-        return values.length == 0 ? defaultValue : values[values.length / 2];
+    private static double medianDeviation(List<Upstream> candidates) {
+        if (candidates.isEmpty()) {
+            return 1;
+        }
+        double[] values = new double[candidates.size()];
+        for (int i = 0; i < values.length; i++) {
+            values[i] = candidates.get(i).stall().averageDeviation();
+        }
+        Arrays.sort(values);
+        return values[values.length / 2];
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/Upstream.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/Upstream.java
@@ -4,14 +4,11 @@
 
 /** An upstream with its registration and the statistics of this gateway. Not thread-safe. */
 public final class Upstream {
-    /** Weight of the latest sample in the moving averages. */
-    private static final double SAMPLE_WEIGHT = 0.15;
-
     private final FailureDetector failureDetector = new FailureDetector();
     private final UpstreamLoad load = new UpstreamLoad();
+    private final UpstreamSpeed speed = new UpstreamSpeed();
+    private final StallDetector stall = new StallDetector();
     private UpstreamEntry entry;
-    private double averageResponseMillis;
-    private double averageDeviation = 1;
     private long lastReceivedMillis;
     private long revision;
     private boolean announcedLeaving;
@@ -98,41 +95,21 @@
     }
 
     /**
-     * Records the response time of a request: the time to its complete response or to the first event of its stream.
-     *
-     * @param responseMillis the response time in milliseconds
-     */
-    public void recordResponseTime(double responseMillis) {
-        averageResponseMillis = averageResponseMillis == 0
-                ? responseMillis
-                : averageResponseMillis + SAMPLE_WEIGHT * (responseMillis - averageResponseMillis);
-    }
-
-    /**
-     * Returns the exponential moving average of response times.
-     *
-     * @return the average in milliseconds, or zero if no response time has been recorded
-     */
-    public double averageResponseMillis() {
-        return averageResponseMillis;
-    }
-
-    /**
-     * Records the time to the first event of a stream relative to the time predicted for engines of the service.
+     * Returns the lasting speed of the upstream.
      *
-     * @param deviation the measured time as a multiple of the predicted time
+     * @return the speed
      */
-    public void recordDeviation(double deviation) {
-        averageDeviation += SAMPLE_WEIGHT * (deviation - averageDeviation);
+    public UpstreamSpeed speed() {
+        return speed;
     }
 
     /**
-     * Returns the exponential moving average of the times to the first event relative to the predicted times.
+     * Returns the detector of temporary slowness.
      *
-     * @return the average; one if no first event has been recorded
+     * @return the detector
      */
-    public double averageDeviation() {
-        return averageDeviation;
+    public StallDetector stall() {
+        return stall;
     }
 
     /**
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/EmulatedEngine.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/EmulatedEngine.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.DoubleUnaryOperator;
 import org.lovagethread.gateway.policy.PromptPrefix;
 
 /**
@@ -18,6 +19,7 @@
 final class EmulatedEngine {
     private final EngineProfile profile;
     private final VirtualClock clock;
+    private final DoubleUnaryOperator slowdown;
     private final Deque<Run> waiting = new ArrayDeque<>();
     private final List<Run> running = new ArrayList<>();
     private final Map<String, Integer> cachedParts = new LinkedHashMap<>(16, 0.75f, true);
@@ -42,8 +44,20 @@
     }
 
     EmulatedEngine(EngineProfile profile, VirtualClock clock) {
+        this(profile, clock, millis -> 1);
+    }
+
+    /**
+     * Creates an engine whose speed changes over time.
+     *
+     * @param profile the performance of the engine
+     * @param clock the virtual clock
+     * @param slowdown the factor by which the engine is slower than its profile, by the time in milliseconds
+     */
+    EmulatedEngine(EngineProfile profile, VirtualClock clock, DoubleUnaryOperator slowdown) {
         this.profile = profile;
         this.clock = clock;
+        this.slowdown = slowdown;
     }
 
     void submit(PromptPrefix prefix, int outputTokens, Runnable onFirstEvent, Runnable onEnd) {
@@ -65,7 +79,7 @@
         double stepMillis = profile.stepMillis()
                 + profile.stepMillisPerRequest() * running.size()
                 + processed / profile.tokensPerMilli();
-        clock.schedule(stepMillis, this::endStep);
+        clock.schedule(stepMillis * slowdown.applyAsDouble(clock.nowMillis()), this::endStep);
     }
 
     private double processPrompts() {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/LoadEmulation.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/LoadEmulation.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.DoubleUnaryOperator;
+import java.util.function.IntFunction;
 import org.lovagethread.gateway.config.LatencyTargets;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.RouteTable;
@@ -18,9 +19,13 @@
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
+import org.lovagethread.gateway.policy.SpeedRecorder;
 import org.lovagethread.gateway.policy.ZoneTopology;
+import org.lovagethread.gateway.upstream.SpeedSums;
+import org.lovagethread.gateway.upstream.StallDetector;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.gateway.upstream.UpstreamSpeed;
 
 /**
  * Plays a random load against emulated engines in virtual time. Several gateways admit and place the requests with the
@@ -39,7 +44,7 @@
     private static final int MEAN_OUTPUT_TOKENS = 24;
 
     private final VirtualClock clock = new VirtualClock();
-    private final Random random = new Random(SEED);
+    private final Random random;
     private final List<EmulatedEngine> engines = new ArrayList<>();
     private final List<GatewayState> gateways = new ArrayList<>();
     private final List<Sample> samples = new ArrayList<>();
@@ -86,6 +91,25 @@
      *     engines' time, by the time in milliseconds
      */
     LoadEmulation(List<EngineProfile> profiles, List<Route> routes, DoubleUnaryOperator utilization) {
+        this(profiles, routes, utilization, engine -> millis -> 1, SEED);
+    }
+
+    /**
+     * Creates an emulation of engines whose speeds change over time.
+     *
+     * @param profiles the engines
+     * @param routes the routes, which receive equal shares of the requests
+     * @param utilization the processing time of the prompts that arrive, as for the other constructor
+     * @param slowdowns the factor by which an engine is slower than its profile, by the index of the engine and the time
+     * @param seed the seed of the random numbers
+     */
+    LoadEmulation(
+            List<EngineProfile> profiles,
+            List<Route> routes,
+            DoubleUnaryOperator utilization,
+            IntFunction<DoubleUnaryOperator> slowdowns,
+            long seed) {
+        this.random = new Random(seed);
         this.routes = List.copyOf(routes);
         this.targets = new RouteTable(routes).latencyTargets();
         this.utilization = utilization;
@@ -94,7 +118,9 @@
                 SERVICE, 1_000, Optional.of(new EngineSpec(first.slots(), first.memoryTokens())), Optional.empty());
         tokensPerMilli =
                 profiles.stream().mapToDouble(EngineProfile::tokensPerMilli).sum();
-        profiles.forEach(profile -> engines.add(new EmulatedEngine(profile, clock)));
+        for (int engine = 0; engine < profiles.size(); engine++) {
+            engines.add(new EmulatedEngine(profiles.get(engine), clock, slowdowns.apply(engine)));
+        }
         for (int i = 0; i < GATEWAYS; i++) {
             GatewayState gateway = new GatewayState();
             for (int engine = 0; engine < profiles.size(); engine++) {
@@ -144,7 +170,7 @@
                             .estimate((long) clock.nowMillis())
                             .processingMillis((double) choice.unreadTokens())
                     * GATEWAYS
-                    / engines.size();
+                    / UpstreamSpeed.sum(gateway.upstreams, (long) clock.nowMillis());
             long delayMillis =
                     gateway.admission.retryAfterMillis(candidate, choice, processingMillis, (long) clock.nowMillis());
             clock.schedule((double) delayMillis, () -> submit(request, false));
@@ -170,6 +196,8 @@
         model.recordPrompt(choice.unreadTokens(), memoryTokens);
         choice.upstream().load().recordStart(choice.unreadTokens(), memoryTokens);
         double sentMillis = clock.nowMillis();
+        StallDetector.Expectation expectation =
+                choice.upstream().stall().start(choice.predictedLatencyMillis(), (long) sentMillis);
         double[] firstEventMillis = new double[1];
         EmulatedEngine engine = engines.get(gateway.upstreams.indexOf(choice.upstream()));
         clock.schedule(
@@ -181,14 +209,18 @@
                             firstEventMillis[0] = clock.nowMillis();
                             double actualMillis = clock.nowMillis() - sentMillis;
                             choice.upstream().load().recordFirstEvent(choice.unreadTokens());
-                            choice.upstream()
-                                    .recordDeviation(
-                                            model.recordFirstEvent(choice.queuedTokens(), Math.round(actualMillis)));
+                            choice.upstream().stall().end(expectation);
+                            SpeedRecorder.recordFirstEvent(
+                                    model, choice, Math.round(actualMillis), (long) clock.nowMillis());
                             record(request, choice, clock.nowMillis() - request.startedMillis());
                         },
                         () -> {
                             choice.upstream().load().recordEnd(true, choice.unreadTokens(), memoryTokens);
-                            model.recordStream(Math.round(clock.nowMillis() - firstEventMillis[0]));
+                            SpeedRecorder.recordStream(
+                                    model,
+                                    choice.upstream(),
+                                    Math.round(clock.nowMillis() - firstEventMillis[0]),
+                                    (long) clock.nowMillis());
                         }));
     }
 
@@ -214,6 +246,13 @@
         for (GatewayState sender : gateways) {
             List<Float> values = sender.models.of(SERVICE).local().values();
             for (GatewayState receiver : gateways) {
+                for (int i = 0; sender != receiver && i < engines.size(); i++) {
+                    SpeedSums sums = sender.upstreams.get(i).speed().local();
+                    Optional<SpeedSums> copy = SpeedSums.of(sums.samples(), sums.logSum(), sums.deviationSum());
+                    Upstream reported = receiver.upstreams.get(i);
+                    copy.ifPresent(received -> reported.speed()
+                            .updatePeer("g" + gateways.indexOf(sender), received, (long) clock.nowMillis()));
+                }
                 if (sender != receiver) {
                     receiver.models
                             .of(SERVICE)
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/FleetPlannerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/FleetPlannerTest.java
@@ -87,6 +87,18 @@
             }
         }
 
+        /** Fails if three slow instances count as the capacity of three instances of mean speed. */
+        @Test
+        void countByTheirSpeed() {
+            List<ZoneFleet> slow = List.of(
+                    new ZoneFleet("expensive", 2, 0, 2 * 0.7),
+                    new ZoneFleet("cheap", 2, 0, 2 * 0.7),
+                    new ZoneFleet("standard", 2, 0, 2 * 0.7));
+            assertThat(count(planner.plan(service(0.18), slow, 6, 6), false)).isEqualTo(2);
+            assertThat(count(planner.plan(service(0.18), zones(2, 0), 6, 6), false))
+                    .isZero();
+        }
+
         @Test
         void areNotOrderedUnlessCheaper() {
             List<FleetOrder> orders = planner.plan(service(1.0), zones(0, 2), 6, 6);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/PlacementTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/PlacementTest.java
@@ -15,6 +15,7 @@
 import org.lovagethread.gateway.config.ServiceSpec.EngineSpec;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.policy.Placement.Demand;
+import org.lovagethread.gateway.upstream.SpeedSums;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamLoad.Work;
@@ -112,4 +113,65 @@
             assertThat(REGIONS.get(zone)).isEqualTo("two");
         }
     }
+
+    @Nested
+    class Speeds {
+        private static final long LATER_MILLIS = 1_000;
+
+        private void setSpeed(Upstream upstream, double speed, long nowMillis) {
+            upstream.speed()
+                    .updatePeer(
+                            "g",
+                            SpeedSums.of(2_000, 2_000 * Math.log(speed), 600).orElseThrow(),
+                            nowMillis);
+        }
+
+        private List<Upstream> preferred(int documents, long nowMillis) {
+            List<Upstream> preferred = new ArrayList<>();
+            for (int document = 0; document < documents; document++) {
+                preferred.add(gateway("a")
+                        .choose(POOL, upstreams, Set.of(), demand("d" + document, document), false, nowMillis)
+                        .orElseThrow()
+                        .upstream());
+            }
+            return preferred;
+        }
+
+        /** Fails if a fast engine is preferred for as few shared prompts as the others, or takes over all of them. */
+        @Test
+        void weightPreferredEngines() {
+            List<Upstream> local = List.copyOf(upstreams.subList(0, 4));
+            upstreams.subList(4, upstreams.size()).clear();
+            setSpeed(local.get(0), 2, 0);
+            long toFast = preferred(2_000, 0).stream()
+                    .filter(upstream -> upstream.equals(local.get(0)))
+                    .count();
+            assertThat(toFast / 2_000.0).isBetween(0.33, 0.5);
+        }
+
+        /** Fails if a change of one engine's speed moves shared prompts between other engines. */
+        @Test
+        void moveOnlyPromptsOfTheChangedEngine() {
+            List<Upstream> before = preferred(500, 0);
+            setSpeed(upstreams.get(0), 1.6, 0);
+            List<Upstream> after = preferred(500, LATER_MILLIS);
+            for (int i = 0; i < before.size(); i++) {
+                assertThat(after.get(i)).isIn(before.get(i), upstreams.get(0));
+            }
+        }
+
+        /** Fails if queued prompts are assumed to take as long at a fast engine as at a slow one. */
+        @Test
+        void shortenPredictedTimes() {
+            upstreams.subList(2, upstreams.size()).clear();
+            setSpeed(upstreams.get(0), 2, 0);
+            for (Upstream upstream : upstreams) {
+                upstream.load().updatePeer("peer", new Work(10, 5, 30_000, 100_000), 0);
+            }
+            Placement.Choice choice = gateway("a")
+                    .choose(POOL, upstreams, Set.of(), demand("d1", 1), false, 0)
+                    .orElseThrow();
+            assertThat(choice.upstream()).isEqualTo(upstreams.get(0));
+        }
+    }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/upstream/UpstreamTableTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/upstream/UpstreamTableTest.java
@@ -163,4 +163,15 @@
             assertThat(table.expire(true, 9_000, 11_000)).containsExactly("i-1");
         }
     }
+
+    /** Fails if a restarted process is treated as slow because the one before it was. */
+    @Test
+    void forgetsSpeedOfRestartedProcess() {
+        table.put(entry("i-1", false, 1), 1, 0);
+        SpeedSums slow = SpeedSums.of(1_000, -1_000, 300).orElseThrow();
+        table.find("i-1").orElseThrow().speed().updatePeer("g", slow, 0);
+        assertThat(table.find("i-1").orElseThrow().speed().factor(0)).isLessThan(0.5);
+        table.put(entry("i-1", false, 2), 2, 10);
+        assertThat(table.find("i-1").orElseThrow().speed().factor(10)).isEqualTo(1);
+    }
 }
--- a/lovagethread-wire/generate.sh
+++ b/lovagethread-wire/generate.sh
@@ -11,4 +11,5 @@
 mvn -B -q dependency:copy -Dartifact=com.google.protobuf:protoc:$version:exe:$platform -DoutputDirectory=target
 protoc="target/protoc-$version-$platform.exe"
 chmod +x "$protoc"
-"$protoc" --java_out=src/main/java --proto_path=src/main/proto src/main/proto/peer.proto src/main/proto/gateway.proto
+"$protoc" --java_out=src/main/java --proto_path=src/main/proto src/main/proto/peer.proto src/main/proto/gateway.proto \
+    src/main/proto/upstream_speeds.proto
