Divert requests only after three times the predicted time

LoadEmulation records no first event of a request that waited for capacity, as AttemptRecorder does.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/StallDetector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/StallDetector.java
@@ -25,8 +25,11 @@
     /** Time in which the moving average then forgets most of a deviation, in milliseconds. */
     private static final double MEMORY_MILLIS = 3_000;
 
-    /** Time to the first event as a multiple of the predicted time from which it is overdue. */
-    private static final double OVERDUE_FACTOR = 2;
+    /**
+     * Time to the first event as a multiple of the predicted time from which it is overdue. With 2, prompts that
+     * unexpectedly were not cached diverted requests, and equal engines served half a percentage point less in time.
+     */
+    private static final double OVERDUE_FACTOR = 3;
 
     /** Time in addition to the predicted time that does not count, for the network and scheduling, in milliseconds. */
     private static final double OVERDUE_ALLOWANCE_MILLIS = 30;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/LoadEmulation.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/LoadEmulation.java
@@ -210,8 +210,10 @@
                             double actualMillis = clock.nowMillis() - sentMillis;
                             choice.upstream().load().recordFirstEvent(choice.unreadTokens());
                             choice.upstream().stall().end(expectation);
-                            SpeedRecorder.recordFirstEvent(
-                                    model, choice, Math.round(actualMillis), (long) clock.nowMillis());
+                            if (!choice.waitsForCapacity()) {
+                                SpeedRecorder.recordFirstEvent(
+                                        model, choice, Math.round(actualMillis), (long) clock.nowMillis());
+                            }
                             record(request, choice, clock.nowMillis() - request.startedMillis());
                         },
                         () -> {
