--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
@@ -10,6 +10,7 @@
 import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.rollout.RolloutSample;
+import org.lovagethread.gateway.upstream.StallDetector;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /** An attempt to have the request served by one upstream, and the part of its response received so far. */
@@ -25,6 +26,7 @@
     final EventSplitter eventSplitter = new EventSplitter();
     private final ResponseMemory memory;
     private final Consumer<Attempt> evictionHandler;
+    private final StallDetector.Expectation expectation;
     UpstreamClient.RequestHandle handle;
     HttpResponse response;
     final ByteBuf buffered = Unpooled.buffer(0);
@@ -54,9 +56,15 @@
         this.upstream = choice.upstream();
         this.memoryTokens = memoryTokens;
         this.sentMillis = nowMillis;
+        this.expectation = upstream.stall().start(choice.predictedLatencyMillis(), nowMillis);
         recordBytes(nowMillis, observedMillis);
     }
 
+    /** Records that the first event has arrived or is no longer expected. */
+    void endExpectation() {
+        upstream.stall().end(expectation);
+    }
+
     void recordBytes(long nowMillis, long observedMillis) {
         lastBytesMillis = nowMillis;
         lastBytesObservedMillis = observedMillis;
@@ -107,6 +115,7 @@
     void release() {
         memory.release(this);
         releaseHandler.accept(receivedBytes);
+        endExpectation();
         upstream.load().recordEnd(firstEventReceived, choice.unreadTokens(), memoryTokens);
         if (!responseEnded && handle != null) {
             handle.cancel();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
@@ -5,6 +5,7 @@
 import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
+import org.lovagethread.gateway.policy.SpeedRecorder;
 import org.lovagethread.gateway.policy.ZoneTraffic;
 import org.lovagethread.gateway.rollout.RolloutSample;
 import org.lovagethread.gateway.upstream.Upstream;
@@ -33,7 +34,7 @@
         Upstream upstream = attempt.upstream;
         upstream.load().recordStart(attempt.choice.unreadTokens(), attempt.memoryTokens);
         if (service.engine().isPresent()) {
-            context.engineModels().of(service.name()).recordPrompt(attempt.choice.unreadTokens(), attempt.memoryTokens);
+            model().recordPrompt(attempt.choice.unreadTokens(), attempt.memoryTokens);
         }
         context.placement().recordSent(demand, upstream);
         attempt.rolloutSample = context.rollouts().recordSent(service.name(), route, upstream, !sentBefore);
@@ -60,18 +61,17 @@
     void recordFirstEvent(Attempt attempt, long nowMillis) {
         context.promptQuarantine().recordFirstEvent(service.name(), prefix, nowMillis);
         attempt.upstream.load().recordFirstEvent(attempt.choice.unreadTokens());
+        attempt.endExpectation();
         long millis = nowMillis - attempt.sentMillis;
-        attempt.upstream.recordResponseTime((double) millis);
-        if (service.engine().isPresent() && !attempt.choice.waitsForCapacity()) {
-            EngineModel model = context.engineModels().of(service.name());
-            double deviation = model.recordFirstEvent(attempt.choice.queuedTokens(), millis);
-            attempt.upstream.recordDeviation(deviation);
-            attempt.rolloutSample.ifPresent(sample -> sample.recordDeviation(deviation));
-        } else if (service.engine().isPresent()) {
-            double predictedMillis = Math.max(1, attempt.choice.predictedLatencyMillis());
-            attempt.rolloutSample.ifPresent(sample -> sample.recordDeviation(millis / predictedMillis));
+        if (service.engine().isEmpty()) {
+            recordPlainResponse(attempt, millis, nowMillis);
+        } else if (attempt.choice.waitsForCapacity()) {
+            double typicalMillis = attempt.choice.predictedLatencyMillis()
+                    * attempt.upstream.speed().factor(nowMillis);
+            attempt.rolloutSample.ifPresent(sample -> sample.recordDeviation(millis / Math.max(1, typicalMillis)));
         } else {
-            attempt.rolloutSample.ifPresent(sample -> sample.recordResponse(millis));
+            double deviation = SpeedRecorder.recordFirstEvent(model(), attempt.choice, millis, nowMillis);
+            attempt.rolloutSample.ifPresent(sample -> sample.recordDeviation(deviation));
         }
     }
 
@@ -79,15 +79,18 @@
     void recordStreamEnd(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
         if (service.engine().isPresent() && attempt.firstEventReceived) {
-            context.engineModels().of(service.name()).recordStream(nowMillis - attempt.firstEventMillis);
+            SpeedRecorder.recordStream(model(), attempt.upstream, nowMillis - attempt.firstEventMillis, nowMillis);
         }
     }
 
     /** Records a complete successful response that is not a stream. */
     void recordSuccess(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
-        attempt.upstream.recordResponseTime((double) (nowMillis - attempt.sentMillis));
-        attempt.rolloutSample.ifPresent(sample -> sample.recordResponse(nowMillis - attempt.sentMillis));
+        if (service.engine().isEmpty()) {
+            recordPlainResponse(attempt, nowMillis - attempt.sentMillis, nowMillis);
+        } else {
+            attempt.rolloutSample.ifPresent(sample -> sample.recordResponse(nowMillis - attempt.sentMillis));
+        }
     }
 
     /** Records that the upstream stated that it did not run the request. */
@@ -110,4 +113,13 @@
                 .recordBreak(
                         attempt.upstream.entry(), prefix, attempt.firstEventReceived, attempt.sentMillis, nowMillis);
     }
+
+    private void recordPlainResponse(Attempt attempt, long millis, long nowMillis) {
+        SpeedRecorder.recordResponse(model(), attempt.choice, millis, nowMillis);
+        attempt.rolloutSample.ifPresent(sample -> sample.recordResponse(millis));
+    }
+
+    private EngineModel model() {
+        return context.engineModels().of(service.name());
+    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -66,6 +66,11 @@
             .help("State and figures of the latest rollout of a service, by name.")
             .labelNames("service", "name")
             .register(registry);
+    private final Gauge upstreamSpeeds = Gauge.builder()
+            .name("lovagethread_upstream_speed")
+            .help("Lowest and highest estimated relative speed of the upstreams of a service.")
+            .labelNames("service", "bound")
+            .register(registry);
     private final Gauge stateGauges = Gauge.builder()
             .name("lovagethread_state")
             .help("State of the gateway by name.")
@@ -151,6 +156,18 @@
         zoneShares.labelValues(service, zone).set(share);
     }
 
+    /**
+     * Sets the range of the estimated speeds of the upstreams of a service.
+     *
+     * @param service the name of the service
+     * @param lowest the speed of the slowest upstream relative to the typical one
+     * @param highest the speed of the fastest upstream relative to the typical one
+     */
+    public void setUpstreamSpeeds(String service, double lowest, double highest) {
+        upstreamSpeeds.labelValues(service, "lowest").set(lowest);
+        upstreamSpeeds.labelValues(service, "highest").set(highest);
+    }
+
     /**
      * Sets a gauge of the state of the gateway.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/ZoneEmulation.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/ZoneEmulation.java
@@ -22,6 +22,7 @@
 import org.lovagethread.gateway.policy.CrossZoneRouting;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
+import org.lovagethread.gateway.policy.SpeedRecorder;
 import org.lovagethread.gateway.policy.ZoneTopology;
 import org.lovagethread.gateway.policy.ZoneTopology.Distance;
 import org.lovagethread.gateway.upstream.Upstream;
@@ -225,8 +226,8 @@
         Runnable onFirstEvent = () -> {
             firstEventMillis[0] = clock.nowMillis();
             upstream.load().recordFirstEvent(choice.unreadTokens());
-            upstream.recordDeviation(
-                    model.recordFirstEvent(choice.queuedTokens(), Math.round(clock.nowMillis() - sentMillis)));
+            SpeedRecorder.recordFirstEvent(
+                    model, choice, Math.round(clock.nowMillis() - sentMillis), (long) clock.nowMillis());
             samples.add(new Sample(
                     request.zone(), target, request.startedMillis(), clock.nowMillis() - request.startedMillis()));
         };
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrossZoneRoutingTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrossZoneRoutingTest.java
@@ -38,7 +38,6 @@
                 UpstreamEntry entry =
                         new UpstreamEntry("i-" + zone + i, SERVICE, "10.0.0.1", 80, zone, SLOTS, false, false, 1);
                 Upstream upstream = new Upstream(entry);
-                upstream.recordResponseTime(RESPONSE_MILLIS);
                 upstreams.add(upstream);
             }
         }
@@ -49,7 +48,16 @@
     }
 
     private static Placement placement(CrossZoneRouting routing) {
-        return new Placement(new ZoneTopology("a", REGIONS), new EngineModels(), routing);
+        return new Placement(new ZoneTopology("a", REGIONS), models(), routing);
+    }
+
+    /** Returns models that have learned the time of a response. */
+    private static EngineModels models() {
+        EngineModels models = new EngineModels();
+        for (int i = 0; i < 100; i++) {
+            models.of(SERVICE).speedBaseline().record(RESPONSE_MILLIS);
+        }
+        return models;
     }
 
     private void load(String zone, int inFlight) {
@@ -142,7 +150,7 @@
         @Test
         void followFixedCostsIfSwitchedOff() {
             Placement fixed = placement(routing(false, 1));
-            Placement former = new Placement(new ZoneTopology("a", REGIONS), new EngineModels());
+            Placement former = new Placement(new ZoneTopology("a", REGIONS), models());
             Map<String, Integer> load = Map.of("a", 2, "b", 0, "c", 0);
             assertThat(play(fixed, 50, load)).isEqualTo(play(former, 50, load)).containsOnly("b");
         }
