Limit grants unknown to peers to a gateway's part of the quota

Cause: a grant is unknown to the other gateways for up to 0.8 s, so an increase at all gateways at once let each of them grant the whole level. The first report of a peer was not charged, so neither was the first grant of each gateway to a customer. A gateway that started had a full bucket.

Change: TokenQuota limits what its peers do not know yet to its part of the level (GrantLimit), for as long as the intervals between reports show (ReportHorizon). First reports of peers that started recently are charged, buckets are empty at the start, and the level is shared with unreachable peers like the rate. GRANTED_TOLERANCE_SHARE is 0.2 instead of 0.4. No message changes.

TokenQuotaTest: the tests of refusals start one second after the start, when the bucket is full; a new test requires that it is empty before.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -12,6 +12,7 @@
 import org.lovagethread.gateway.peer.PeerTable.GatewayInstance;
 import org.lovagethread.gateway.peer.PeerTable.Peer;
 import org.lovagethread.gateway.policy.AddressPolicy.GatewayAddress;
+import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.upstream.LeavingMark;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
@@ -30,7 +31,7 @@
  */
 final class CellExchange {
     /** Prefix of the peer names that represent cells, which keeps them distinct from the names of gateways. */
-    static final String CELL_PREFIX = "cell:";
+    static final String CELL_PREFIX = TokenQuota.CELL_PREFIX;
 
     /** Interval between two summaries, in milliseconds. */
     private static final long SEND_INTERVAL_MILLIS = 250;
@@ -151,7 +152,12 @@
         gateway.promptQuarantine()
                 .updatePeer(cell, PromptEvidenceCodec.decode(state.getCrashEvidence(), nowMillis), nowMillis);
         state.getCustomersList().forEach(use -> gateway.quota()
-                .update(CELL_PREFIX + state.getSpeaker(), use.getCustomer(), use.getTokens(), nowMillis));
+                .update(
+                        CELL_PREFIX + state.getSpeaker(),
+                        Long.MAX_VALUE,
+                        use.getCustomer(),
+                        use.getTokens(),
+                        nowMillis));
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -113,7 +113,7 @@
         GatewaySettings.Bounds bounds = settings.bounds();
         ZoneTopology zones = new ZoneTopology(settings.zone(), settings.regionByZone());
         this.addressPolicy = new AddressPolicy(zones);
-        this.quota = new TokenQuota(bounds.quotaTolerance(), bounds.quotaToleranceTokens());
+        this.quota = new TokenQuota(bounds.quotaTolerance(), bounds.quotaToleranceTokens(), nowMillis(), Math::random);
         this.peers = new PeerTable(settings.host(), settings.zone(), settings.capacity());
         this.placement = new Placement(zones, engineModels);
         this.retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindowMillis());
@@ -247,7 +247,7 @@
         }
         if (ticks % 25 == 0) {
             upstreamClient.tick(nowMillis);
-            quota.expire(nowMillis);
+            quota.tick(gatewayCount(), nowMillis);
             for (String id : upstreams.expire(
                     sync.storeHealth().isReachable(), sync.storeHealth().recoveredMillis(), nowMillis)) {
                 log.add(log.line("upstream-gone").put("upstream", id));
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -278,8 +278,9 @@
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), state.getNode(), gateway.upstreams(), now);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), process, gateway.engineModels(), now);
         gateway.promptQuarantine().updatePeer(process, PromptEvidenceCodec.decode(state.getCrashEvidence(), now), now);
+        long uptimeMillis = state.getWallClockMillis() - state.getIncarnation();
         state.getCustomersList()
-                .forEach(use -> gateway.quota().update(process, use.getCustomer(), use.getTokens(), now));
+                .forEach(use -> gateway.quota().update(process, uptimeMillis, use.getCustomer(), use.getTokens(), now));
         state.getWindowsList().forEach(count -> gateway.usage()
                 .update(process, count.getWindow(), count.getCustomer(), count.getRequests()));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/TokenQuota.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/TokenQuota.java
@@ -2,86 +2,104 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 import org.lovagethread.gateway.config.Customer;
 
 /**
  * Limits each customer to its token quota across all gateways.
  *
  * <p>Every gateway models one token bucket per customer and charges it with its own grants and with the totals that
- * peers report. Between two reports of a peer, its grants are extrapolated from its last rate. Otherwise gateways whose
- * reports are delayed would all grant the same tokens. For an unreachable peer an even share of the rate is reserved
- * until it is reachable again or has been removed.
+ * peers report. Grants that not all peers know yet are limited to this gateway's part of the level ({@link GrantLimit}),
+ * since otherwise all gateways would grant the same tokens when the demand increases. How long grants remain unknown
+ * follows from the intervals between the reports of peers ({@link ReportHorizon}). For unreachable peers an even share
+ * of the rate and of the level is reserved until they are reachable again or have been removed.
  *
- * <p>This handles a customer that requests many times its quota at every gateway.
+ * <p>A gateway does not know what was granted before its start, so its buckets are empty then.
  */
 public final class TokenQuota {
-    private static final double MILLIS_PER_SECOND = 1_000.0;
+    /** Prefix of the names of peers that are cells. */
+    public static final String CELL_PREFIX = "cell:";
 
-    /** Time after a peer's report for which its grants are extrapolated, in milliseconds. */
-    private static final long EXTRAPOLATION_MILLIS = 1_000;
+    private static final double MILLIS_PER_SECOND = 1_000.0;
 
     /** Age of the last report at which a peer's grants are discarded, in milliseconds. */
     private static final long PEER_EXPIRY_MILLIS = 60_000;
 
-    /** Weight of the latest report in the smoothed rate of a peer. */
-    private static final double RATE_SMOOTHING = 0.4;
+    /** Interval at which the rate of this gateway is measured, in milliseconds. */
+    private static final long OWN_RATE_INTERVAL_MILLIS = 250;
+
+    /** Time since its start in which a peer that was unknown counts as new, in milliseconds. */
+    private static final long NEW_PEER_MILLIS = 20_000;
+
+    /** Time in which a gateway that starts grants nothing, in milliseconds. */
+    private static final long START_DIFFERENCE_MILLIS = 500;
+
+    /** Duration of the window in which the tolerance applies, in seconds. */
+    private static final double WINDOW_SECONDS = 8;
 
     /** Share of the tolerance that is granted, as delayed reports of peers cause refusals within the quota. */
-    private static final double GRANTED_TOLERANCE_SHARE = 0.4;
+    private static final double GRANTED_TOLERANCE_SHARE = 0.2;
 
+    /**
+     * Share of the tolerance by which the limits of all gateways together may exceed the level, since a gateway's part
+     * of a small quota is less than one request. Not all gateways reach their limits before they receive reports: 0.7
+     * used slightly more than half of the tolerance in increases of nine times.
+     */
+    private static final double ROUNDING_TOLERANCE_SHARE = 0.6;
+
+    private final double tolerance;
+    private final double toleranceTokens;
     private final double rateFactor;
     private final double extraBurstTokens;
+    private final long startMillis;
+    private final DoubleSupplier random;
 
     private final Map<String, Bucket> buckets = new HashMap<>();
     private final RateMeter grantRate = new RateMeter();
+    private final ReportHorizon horizon = new ReportHorizon();
+    private int gateways = 1;
 
     /**
      * Creates quotas without any grants.
      *
      * @param tolerance the share of a quota that may be granted in excess of it
      * @param toleranceTokens the number of tokens that may be granted per window in excess of the quota, in addition
+     * @param startMillis when this gateway was started, in milliseconds; buckets are empty then
+     * @param random returns random numbers from zero to one
      */
-    public TokenQuota(double tolerance, double toleranceTokens) {
+    public TokenQuota(double tolerance, double toleranceTokens, long startMillis, DoubleSupplier random) {
+        this.tolerance = tolerance;
+        this.toleranceTokens = toleranceTokens;
         this.rateFactor = 1.0 + GRANTED_TOLERANCE_SHARE * tolerance;
         this.extraBurstTokens = GRANTED_TOLERANCE_SHARE * toleranceTokens;
-    }
-
-    /** Grants of one peer to one customer. */
-    private static final class PeerUsage {
-        private long reportedTotal;
-        private long chargedTokens;
-        private long reportedMillis;
-        private double tokensPerMilli;
-        private double predictedTokens;
-
-        /** Returns the predicted tokens of a period and adds them to the prediction since the last report. */
-        private double predict(long fromMillis, long toMillis) {
-            long end = Math.min(toMillis, reportedMillis + EXTRAPOLATION_MILLIS);
-            double tokens = Math.max(0, end - Math.max(fromMillis, reportedMillis)) * tokensPerMilli;
-            predictedTokens += tokens;
-            return tokens;
-        }
-
-        /** Records a reported total and returns its difference from the prediction; negative if that was too high. */
-        private double recordTotal(long newTotal, long nowMillis) {
-            long granted = Math.max(0, newTotal - reportedTotal);
-            long elapsed = Math.max(1, nowMillis - reportedMillis);
-            double correction = granted - predictedTokens;
-            tokensPerMilli += RATE_SMOOTHING * ((double) granted / elapsed - tokensPerMilli);
-            predictedTokens = 0;
-            chargedTokens += granted;
-            reportedTotal = newTotal;
-            reportedMillis = nowMillis;
-            return correction;
-        }
+        this.startMillis = startMillis;
+        this.random = random;
     }
 
     private static final class Bucket {
-        private final Map<String, PeerUsage> peers = new HashMap<>();
+        private final Map<String, PeerGrants> peers = new HashMap<>();
+        private final GrantHistory history = new GrantHistory();
+        private final PeerGrants own;
         private double level;
+        private double reservedLevel;
+        private double reservedShare;
         private long refilledMillis;
         private long localTotal;
+        private long limitWaitMillis;
+        private long nextRoundingMillis;
         private boolean initialized;
+
+        private Bucket(long startMillis) {
+            this.own = new PeerGrants(0, startMillis);
+        }
+
+        private double peerRate(long nowMillis) {
+            double rate = 0;
+            for (PeerGrants peer : peers.values()) {
+                rate += peer.rate(nowMillis);
+            }
+            return rate;
+        }
     }
 
     /**
@@ -94,22 +112,66 @@
      * @return true if the request is within the quota and has been charged
      */
     public boolean tryAcquire(Customer customer, long tokens, double unreachableShare, long nowMillis) {
-        Bucket bucket = buckets.computeIfAbsent(customer.name(), name -> new Bucket());
-        if (customer.tokensPerSecond() <= 0) {
-            bucket.localTotal += tokens;
-            grantRate.add(tokens, nowMillis);
-            return true;
-        }
-        refill(bucket, customer, unreachableShare, nowMillis);
-        if (bucket.level < Math.min((double) tokens, customer.burstTokens())) {
-            return false;
+        Bucket bucket = bucket(customer.name());
+        if (customer.tokensPerSecond() > 0) {
+            refill(bucket, customer, unreachableShare, nowMillis);
+            double needed = Math.min((double) tokens, customer.burstTokens());
+            if (bucket.level < needed || !isWithinLimit(bucket, customer, needed, unreachableShare, nowMillis)) {
+                return false;
+            }
+            bucket.level -= (double) tokens;
+            bucket.history.add(tokens, nowMillis);
         }
-        bucket.level -= (double) tokens;
         bucket.localTotal += tokens;
         grantRate.add(tokens, nowMillis);
         return true;
     }
 
+    /** Returns whether this gateway may grant more tokens before all peers know its latest grants. */
+    private boolean isWithinLimit(
+            Bucket bucket, Customer customer, double needed, double unreachableShare, long nowMillis) {
+        double sharing = Math.max(gateways, bucket.peers.size() + 1) * (1.0 - unreachableShare);
+        if (sharing <= 1.0) {
+            return true;
+        }
+        double horizonMillis = horizon.millis(nowMillis);
+        measureOwnRate(bucket, horizonMillis, nowMillis);
+        double unknown = bucket.history.weightedSum(horizonMillis, nowMillis);
+        double ownRate = bucket.own.rate(nowMillis);
+        double totalRate = ownRate + bucket.peerRate(nowMillis);
+        double refillRate = customer.tokensPerSecond() / MILLIS_PER_SECOND;
+        double expected = Math.min(totalRate, refillRate) * horizonMillis / 2;
+        double limit = new GrantLimit(ownRate, totalRate, sharing).tokens(bucket.level + unknown, expected)
+                + roundingTokens(customer) / sharing;
+        boolean isWithin = unknown + needed <= limit || isRoundedUp(bucket, needed, limit, horizonMillis, nowMillis);
+        bucket.limitWaitMillis = isWithin ? 0 : (long) horizonMillis / 2;
+        return isWithin;
+    }
+
+    /**
+     * Returns whether a request of which only a part is within the limit is granted: with the probability of this part,
+     * once within the horizon. If each request were decided on its own, one of many requests would always be granted.
+     */
+    private boolean isRoundedUp(Bucket bucket, double needed, double limit, double horizonMillis, long nowMillis) {
+        if (nowMillis < bucket.nextRoundingMillis) {
+            return false;
+        }
+        bucket.nextRoundingMillis = nowMillis + (long) horizonMillis;
+        return random.getAsDouble() * needed < limit - (double) bucket.history.sum(horizonMillis, nowMillis);
+    }
+
+    /** Measures the rate of this gateway from the grants that all peers know, as the peers measure it. */
+    private static void measureOwnRate(Bucket bucket, double horizonMillis, long nowMillis) {
+        if (nowMillis - bucket.own.reportedMillis() >= OWN_RATE_INTERVAL_MILLIS) {
+            bucket.own.record(bucket.localTotal - bucket.history.sum(horizonMillis, nowMillis), nowMillis);
+        }
+    }
+
+    private double roundingTokens(Customer customer) {
+        double quota = customer.tokensPerSecond() * WINDOW_SECONDS + customer.burstTokens();
+        return ROUNDING_TOLERANCE_SHARE * (quota * tolerance + toleranceTokens);
+    }
+
     /**
      * Refunds the tokens charged for a request that was not executed.
      *
@@ -121,6 +183,7 @@
         if (bucket != null) {
             bucket.level += (double) tokens;
             bucket.localTotal -= tokens;
+            bucket.history.remove(tokens);
         }
     }
 
@@ -129,7 +192,8 @@
      *
      * @param customer the customer
      * @param tokens the number of tokens to charge for the request
-     * @return the milliseconds until the bucket holds enough tokens, provided that nothing else is granted
+     * @return the milliseconds until the bucket holds enough tokens, or until peers know half of the grants that
+     *     reached the limit of this gateway, provided that nothing else is granted
      */
     public long waitMillis(Customer customer, long tokens) {
         Bucket bucket = buckets.get(customer.name());
@@ -137,43 +201,48 @@
             return 0;
         }
         double missingTokens = Math.min((double) tokens, customer.burstTokens()) - bucket.level;
-        return Math.max(0, (long) (missingTokens * MILLIS_PER_SECOND / customer.tokensPerSecond()));
+        return Math.max(
+                bucket.limitWaitMillis, (long) (missingTokens * MILLIS_PER_SECOND / customer.tokensPerSecond()));
     }
 
     /**
-     * Charges the tokens that a peer has granted since its last report.
+     * Charges the tokens that a peer has granted since its last report. What it granted before its first report is
+     * charged only if it was started recently and not long before this gateway.
      *
      * @param peer the peer's name and incarnation
+     * @param peerUptimeMillis the time since the start of the peer, in milliseconds; {@link Long#MAX_VALUE} if unknown
      * @param customer the name of the customer
      * @param total the number of tokens that the peer has granted since it started
      * @param nowMillis the current time in milliseconds
      */
-    public void update(String peer, String customer, long total, long nowMillis) {
-        Bucket bucket = buckets.computeIfAbsent(customer, name -> new Bucket());
-        PeerUsage usage = bucket.peers.get(peer);
-        if (usage == null) {
-            PeerUsage newUsage = new PeerUsage();
-            newUsage.reportedTotal = total;
-            newUsage.reportedMillis = nowMillis;
-            bucket.peers.put(peer, newUsage);
-            return;
-        }
-        grantRate.add(Math.max(0, total - usage.reportedTotal), nowMillis);
-        double correction = usage.recordTotal(total, nowMillis);
-        if (bucket.initialized) {
-            bucket.level -= correction;
+    public void update(String peer, long peerUptimeMillis, String customer, long total, long nowMillis) {
+        Bucket bucket = bucket(customer);
+        horizon.record(peer, peer.startsWith(CELL_PREFIX), nowMillis);
+        PeerGrants grants = bucket.peers.get(peer);
+        if (grants == null) {
+            boolean isNew = peerUptimeMillis < NEW_PEER_MILLIS
+                    && peerUptimeMillis <= nowMillis - startMillis + START_DIFFERENCE_MILLIS;
+            grants = new PeerGrants(isNew ? 0 : total, nowMillis);
+            bucket.peers.put(peer, grants);
         }
+        long granted = grants.record(total, nowMillis);
+        grantRate.add(granted, nowMillis);
+        bucket.level -= (double) granted;
     }
 
     /**
-     * Discards the grants of peers that have stopped reporting.
+     * Updates the number of gateways, which share the level of each bucket, and discards the grants of peers that have
+     * stopped reporting.
      *
+     * @param newGateways the number of gateways, including this one
      * @param nowMillis the current time in milliseconds
      */
-    public void expire(long nowMillis) {
+    public void tick(int newGateways, long nowMillis) {
+        gateways = Math.max(1, newGateways);
         for (Bucket bucket : buckets.values()) {
-            bucket.peers.values().removeIf(usage -> nowMillis - usage.reportedMillis > PEER_EXPIRY_MILLIS);
+            bucket.peers.values().removeIf(grants -> nowMillis - grants.reportedMillis() > PEER_EXPIRY_MILLIS);
         }
+        horizon.expire(nowMillis);
     }
 
     /**
@@ -211,8 +280,8 @@
         Map<String, Long> totals = new HashMap<>();
         buckets.forEach((customer, bucket) -> {
             long sum = bucket.localTotal;
-            for (Map.Entry<String, PeerUsage> peer : bucket.peers.entrySet()) {
-                sum += peer.getKey().startsWith(prefix) ? 0 : peer.getValue().chargedTokens;
+            for (Map.Entry<String, PeerGrants> peer : bucket.peers.entrySet()) {
+                sum += peer.getKey().startsWith(prefix) ? 0 : peer.getValue().chargedTokens();
             }
             if (sum > 0) {
                 totals.put(customer, sum);
@@ -221,6 +290,10 @@
         return totals;
     }
 
+    private Bucket bucket(String customer) {
+        return buckets.computeIfAbsent(customer, name -> new Bucket(startMillis));
+    }
+
     private double maxLevel(Customer customer) {
         return customer.burstTokens() + extraBurstTokens;
     }
@@ -228,18 +301,28 @@
     private void refill(Bucket bucket, Customer customer, double unreachableShare, long nowMillis) {
         if (!bucket.initialized) {
             bucket.initialized = true;
-            bucket.level = maxLevel(customer);
-            bucket.refilledMillis = nowMillis;
-        }
-        if (nowMillis <= bucket.refilledMillis) {
-            return;
+            bucket.refilledMillis = startMillis;
         }
-        double rate = customer.tokensPerSecond() * rateFactor * (1.0 - unreachableShare);
-        double refillTokens = (nowMillis - bucket.refilledMillis) * rate / MILLIS_PER_SECOND;
-        for (PeerUsage usage : bucket.peers.values()) {
-            refillTokens -= usage.predict(bucket.refilledMillis, nowMillis);
+        reserve(bucket, unreachableShare);
+        double elapsed = Math.max(0, nowMillis - bucket.refilledMillis);
+        double refillTokens = elapsed * customer.tokensPerSecond() * rateFactor / MILLIS_PER_SECOND;
+        double max = maxLevel(customer);
+        bucket.level = Math.min(max * (1.0 - unreachableShare), bucket.level + refillTokens * (1.0 - unreachableShare));
+        bucket.reservedLevel = Math.min(max * unreachableShare, bucket.reservedLevel + refillTokens * unreachableShare);
+        bucket.refilledMillis = Math.max(bucket.refilledMillis, nowMillis);
+    }
+
+    /** Moves tokens between the level and the part reserved for unreachable peers when their share changes. */
+    private static void reserve(Bucket bucket, double unreachableShare) {
+        double change = unreachableShare - bucket.reservedShare;
+        double moved = 0;
+        if (change > 0) {
+            moved = Math.max(0, bucket.level) * change / (1.0 - bucket.reservedShare);
+        } else if (change < 0) {
+            moved = bucket.reservedLevel * change / bucket.reservedShare;
         }
-        bucket.level = Math.min(maxLevel(customer), bucket.level + refillTokens);
-        bucket.refilledMillis = nowMillis;
+        bucket.level -= moved;
+        bucket.reservedLevel += moved;
+        bucket.reservedShare = unreachableShare;
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -57,7 +57,7 @@
     Optional<RuntimeException> sendFailure = Optional.empty();
     ExchangeRecord record;
     private final EngineModels engineModels = new EngineModels();
-    private final TokenQuota quota = new TokenQuota(0, 0);
+    private final TokenQuota quota = new TokenQuota(0, 0, 0, () -> 0.5);
     private final Placement placement = new Placement(new ZoneTopology("a", Map.of("a", "north")), engineModels);
 
     /** An attempt at an upstream, whose response the test determines. */
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/TokenQuotaTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/TokenQuotaTest.java
@@ -14,11 +14,14 @@
     private static final Customer CUSTOMER = new Customer("ice", 1, 100_000, 100_000, 200);
     private static final long REQUEST_TOKENS = 2_000;
 
+    /** Time at which a bucket that was empty at the start is full. */
+    private static final long FULL_MILLIS = 1_000;
+
     /** Simulates gateways whose load exceeds the quota and whose reports are delayed; returns the granted tokens. */
     private static long simulate(int gateways, long millis, long reportIntervalMillis, boolean partitioned) {
         List<TokenQuota> quotas = new ArrayList<>();
         for (int i = 0; i < gateways; i++) {
-            quotas.add(new TokenQuota(0, 0));
+            quotas.add(new TokenQuota(0, 0, 0, () -> 0.5));
         }
         double unreachableShare = partitioned ? (gateways - 1.0) / gateways : 0;
         long granted = 0;
@@ -41,7 +44,7 @@
         for (int i = 0; i < quotas.size(); i++) {
             for (int k = 0; k < quotas.size(); k++) {
                 if (i != k) {
-                    quotas.get(i).update("peer-" + k, CUSTOMER.name(), totals.get(k), nowMillis);
+                    quotas.get(i).update("peer-" + k, nowMillis, CUSTOMER.name(), totals.get(k), nowMillis);
                 }
             }
         }
@@ -68,28 +71,54 @@
         }
     }
 
+    @Nested
+    class Start {
+        /** Guards against a full bucket at each start, with which restarts exceeded the quota. */
+        @Test
+        void grantsOnlyWhatWasRefilledSince() {
+            TokenQuota quota = new TokenQuota(0, 0, 5_000, () -> 0.5);
+            assertThat(quota.tryAcquire(CUSTOMER, 1, 0, 5_000)).isFalse();
+            assertThat(quota.tryAcquire(CUSTOMER, 50_000, 0, 5_500)).isTrue();
+            assertThat(quota.tryAcquire(CUSTOMER, 1, 0, 5_500)).isFalse();
+        }
+    }
+
+    @Nested
+    class UnreachablePeers {
+        /** Guards against refusals for seconds after a partition, in which the peers granted their reserved part. */
+        @Test
+        void areChargedToTheirReserve() {
+            TokenQuota quota = new TokenQuota(0, 0, 0, () -> 0.5);
+            quota.update("peer", Long.MAX_VALUE, CUSTOMER.name(), 100, 900);
+            assertThat(quota.tryAcquire(CUSTOMER, 2_000, 0.5, FULL_MILLIS)).isTrue();
+            assertThat(quota.tryAcquire(CUSTOMER, 49_000, 0.5, FULL_MILLIS)).isFalse();
+            quota.update("peer", Long.MAX_VALUE, CUSTOMER.name(), 50_100, 1_500);
+            assertThat(quota.tryAcquire(CUSTOMER, 2_000, 0, 1_500)).isTrue();
+        }
+    }
+
     @Nested
     class Refusal {
         @Test
         void returnsTimeUntilBucketHoldsEnough() {
-            TokenQuota quota = new TokenQuota(0, 0);
-            assertThat(quota.tryAcquire(CUSTOMER, 100_000, 0, 0)).isTrue();
-            assertThat(quota.tryAcquire(CUSTOMER, 50_000, 0, 0)).isFalse();
+            TokenQuota quota = new TokenQuota(0, 0, 0, () -> 0.5);
+            assertThat(quota.tryAcquire(CUSTOMER, 100_000, 0, FULL_MILLIS)).isTrue();
+            assertThat(quota.tryAcquire(CUSTOMER, 50_000, 0, FULL_MILLIS)).isFalse();
             assertThat(quota.waitMillis(CUSTOMER, 50_000)).isEqualTo(500);
         }
 
         @Test
         void isAvoidedAfterRefund() {
-            TokenQuota quota = new TokenQuota(0, 0);
-            quota.tryAcquire(CUSTOMER, 100_000, 0, 0);
+            TokenQuota quota = new TokenQuota(0, 0, 0, () -> 0.5);
+            quota.tryAcquire(CUSTOMER, 100_000, 0, FULL_MILLIS);
             quota.refund("ice", 100_000);
-            assertThat(quota.tryAcquire(CUSTOMER, 100_000, 0, 0)).isTrue();
+            assertThat(quota.tryAcquire(CUSTOMER, 100_000, 0, FULL_MILLIS)).isTrue();
         }
 
         @Test
         void neverOccursWithoutQuota() {
             Customer unlimited = new Customer("pond", 1, 0, 0, 200);
-            assertThat(new TokenQuota(0, 0).tryAcquire(unlimited, 1_000_000_000, 0, 0))
+            assertThat(new TokenQuota(0, 0, 0, () -> 0.5).tryAcquire(unlimited, 1_000_000_000, 0, 0))
                     .isTrue();
         }
     }
