Honour the pauses that upstreams request

Cause: an upstream that rejected a request with 503 and Retry-After got further requests at once; the header was ignored.

Change: PlatformHeaders reads the header of rejections. UpstreamPauses keeps the end as a deadline for each process of an upstream. Paused upstreams are no candidates for Placement, retries and trials, and no capacity for FleetDemand. If all are paused, a request that has not run is refused at once with the earliest end. Requests return gradually. NettyUpstreamClient sets its gauges itself, so that Gateway grows by one line.

Result: ExchangePauseTest sends 100 requests with retries in a pause of two seconds, of which none reaches the paused upstream. The stand-in servers can request pauses; PlatformNodeTest.PausingServers counts no arrival in 1.5 s of pauses of 2.5 s.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetDemand.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetDemand.java
@@ -6,6 +6,7 @@
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.config.ServiceSpec.EngineSpec;
+import org.lovagethread.gateway.config.ServiceSpec.FleetSpec;
 import org.lovagethread.gateway.engine.EngineEstimate;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.log.LogLine;
@@ -87,7 +88,8 @@
     /** Records the instances that run before any order. */
     void recordInitialInstances(ServiceSpec service) {
         History history = history(service);
-        history.initialInstances = Math.max(history.initialInstances, running(service));
+        history.initialInstances = Math.max(
+                history.initialInstances, upstreams.available(service.name()).size());
     }
 
     /**
@@ -117,9 +119,10 @@
             minNeeded = needed;
         }
         int floor = planner.minInstances(history.initialInstances);
+        int paused = paused(service, nowMillis);
         return new Need(
-                history.needed.add(Math.max(floor, needed), nowMillis),
-                history.minNeeded.add(Math.max(floor, minNeeded), nowMillis),
+                history.needed.add(Math.max(floor, needed + paused), nowMillis),
+                history.minNeeded.add(Math.max(floor, minNeeded + paused), nowMillis),
                 load,
                 estimate);
     }
@@ -128,8 +131,12 @@
         return histories.computeIfAbsent(service.name(), name -> new History());
     }
 
-    private int running(ServiceSpec service) {
-        return upstreams.available(service.name()).size();
+    /** Returns the number of instances that are paused for longer than others need to start. */
+    private int paused(ServiceSpec service, long nowMillis) {
+        long startMillis = service.fleet().map(FleetSpec::bootMillis).orElse(0L);
+        return (int) upstreams.available(service.name()).stream()
+                .filter(upstream -> upstreams.pauses().isPausedFor(upstream.entry(), startMillis, nowMillis))
+                .count();
     }
 
     private Load measureLoad(ServiceSpec service, History history, double tokensPerSecond, long nowMillis) {
@@ -141,7 +148,11 @@
             unreadTokens += work.unreadTokens();
         }
         history.smoothedUnreadTokens += UNREAD_SMOOTHING * (unreadTokens - history.smoothedUnreadTokens);
-        return new Load(generating, tokensPerSecond, history.smoothedUnreadTokens, running(service));
+        return new Load(
+                generating,
+                tokensPerSecond,
+                history.smoothedUnreadTokens,
+                upstreams.unpaused(service.name(), nowMillis).size());
     }
 
     private static double quotaTokensPerSecond(GatewayConfiguration configuration) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
@@ -62,9 +62,12 @@
         attempt.upstream.recordResponseTime((double) (nowMillis - attempt.sentMillis));
     }
 
-    /** Records that the upstream stated that it did not run the request. */
+    /** Records that the upstream stated that it did not run the request, and the pause that it may have requested. */
     void recordRejection(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(false, nowMillis);
+        context.headerCodec().pauseRequest(attempt.response).ifPresent(pause -> context.upstreams()
+                .pauses()
+                .record(attempt.upstream.entry(), pause, attempt.sentMillis, nowMillis));
     }
 
     /** Records that the upstream failed the request, or did not complete it before the deadline. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -460,10 +460,7 @@
         } else if (possibleRuns > 0) {
             refuse(outcome.mayHaveRun() ? outcome.errorKind() : ErrorKind.UPSTREAM_FAILED, 0, nowMillis);
         } else {
-            refuse(
-                    outcome.errorKind(),
-                    context.admission().defaultRetryAfterMillis(deadlineMillis - nowMillis),
-                    nowMillis);
+            refuse(outcome.errorKind(), selector.retryAfterMillis(deadlineMillis - nowMillis, nowMillis), nowMillis);
         }
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -61,15 +61,15 @@
      */
     long observedMillis();
 
-    /** Returns whether a service has an upstream to which a request has not been sent yet. */
+    /** Returns whether a service has an upstream that is not paused and to which a request has not been sent yet. */
     default boolean hasUntriedUpstream(String service, Set<String> triedUpstreams) {
-        return upstreams().available(service).stream()
+        return upstreams().unpaused(service, nowMillis()).stream()
                 .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id()));
     }
 
     /** Returns whether a service has an upstream without recent failures to which a request has not been sent yet. */
     default boolean hasHealthyUpstream(String service, Set<String> triedUpstreams, long nowMillis) {
-        return upstreams().available(service).stream()
+        return upstreams().unpaused(service, nowMillis).stream()
                 .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id())
                         && !upstream.failureDetector().shouldAvoid(nowMillis));
     }
@@ -79,7 +79,7 @@
             String service, Admission.Candidate candidate, Placement.Choice choice, long nowMillis) {
         double engineMillis =
                 engineModels().of(service).estimate(nowMillis).processingMillis((double) choice.unreadTokens());
-        int engines = Math.max(1, upstreams().available(service).size());
+        int engines = Math.max(1, upstreams().unpaused(service, nowMillis).size());
         return admission().retryAfterMillis(candidate, choice, engineMillis * gatewayCount() / engines, nowMillis);
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -77,6 +77,7 @@
     private final ResponseMemory responseMemory =
             new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFERED_RESPONSES);
     private final CrashReporter crashReporter;
+    private final PauseReporter pauseReporter;
     private final LagDetector lagDetector = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AddressPolicy addressPolicy;
@@ -107,6 +108,7 @@
         this.settings = settings;
         this.log = log;
         this.crashReporter = new CrashReporter(log, metrics);
+        this.pauseReporter = new PauseReporter(log, metrics);
         PooledHttpClient httpClient =
                 new PooledHttpClient(loop, settings.bounds().silenceTimeouts());
         this.ports = portsFactory.apply(httpClient);
@@ -243,6 +245,7 @@
             usageReporter.tick();
             crashReporter.report(promptQuarantine.evaluate(upstreams, nowMillis), nowMillis);
             crashReporter.report(promptQuarantine.crashLog(), nowMillis);
+            pauseReporter.tick(upstreams, nowMillis);
             configuration().ifPresent(current -> fleetManager.tick(current, quota.tokensPerSecond(nowMillis)));
         }
         if (ticks % 25 == 0) {
@@ -301,9 +304,7 @@
         metrics.setState("requests_in_progress", callerServer.activeRequests());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("buffered_response_bytes", responseMemory.totalBytes());
-        metrics.setState("malformed_leaving_notices", upstreamClient.malformedLeavingNotices());
-        metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
-        metrics.setState("upstream_connections_with_surplus_bytes", upstreamClient.connectionsWithSurplusBytes());
+        upstreamClient.publish(metrics);
         return new SimpleHttpServer.Response(
                 HttpResponseStatus.OK, "text/plain; version=0.0.4", ByteString.copyFrom(metrics.exposition()));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import java.util.Set;
+import org.lovagethread.gateway.upstream.PauseRequest;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 /** Translates between the HTTP headers of callers and upstreams and the types of the gateway. */
@@ -66,6 +67,14 @@
      */
     LeavingNotice leavingNotice(HttpResponse response);
 
+    /**
+     * Returns the pause that an upstream requests in a response by which it rejects a request.
+     *
+     * @param response the response header
+     * @return the request; empty if the response contains none, or the request may have been executed
+     */
+    Optional<PauseRequest> pauseRequest(HttpResponse response);
+
     /**
      * Returns whether callers take a status as the promise that their request has not been executed.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
@@ -24,6 +24,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.lovagethread.gateway.log.GatewayMetrics;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 /** Sends requests to upstreams over pooled connections. Not thread-safe: used on the gateway's event loop only. */
@@ -94,31 +95,11 @@
         idle.values().removeIf(Deque::isEmpty);
     }
 
-    /**
-     * Returns the number of connections opened since the gateway was started.
-     *
-     * @return the number of connections
-     */
-    long openedConnections() {
-        return openedConnections;
-    }
-
-    /**
-     * Returns the number of connections that were closed because bytes followed a complete response.
-     *
-     * @return the number of connections since the gateway was started
-     */
-    long connectionsWithSurplusBytes() {
-        return connectionsWithSurplusBytes;
-    }
-
-    /**
-     * Returns the number of responses whose leaving notice had an undefined value.
-     *
-     * @return the number of responses since the gateway was started
-     */
-    long malformedLeavingNotices() {
-        return malformedLeavingNotices;
+    /** Sets the gauges of connections and of leaving notices with undefined values. */
+    void publish(GatewayMetrics metrics) {
+        metrics.setState("malformed_leaving_notices", malformedLeavingNotices);
+        metrics.setState("upstream_connections_opened", openedConnections);
+        metrics.setState("upstream_connections_with_surplus_bytes", connectionsWithSurplusBytes);
     }
 
     /** Handles a leaving notice before anything else is done with the response that contains it. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
@@ -6,6 +6,7 @@
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.upstream.UpstreamPauses;
 
 /** Selects the upstream for the next attempt of a request, or decides that the request is refused. */
 final class UpstreamSelector {
@@ -46,7 +47,7 @@
         Optional<Placement.Choice> choice = context.placement()
                 .choose(
                         service,
-                        context.upstreams().available(service.name()),
+                        pauses().candidates(context.upstreams().available(service.name()), triedUpstreams, nowMillis),
                         triedUpstreams,
                         demand,
                         route.isRetryable() && isFirstAttempt,
@@ -61,4 +62,22 @@
         }
         return new Send(choice.get());
     }
+
+    /**
+     * Returns the time after which a request should be sent again that no upstream has executed: when the first pause
+     * ends if all upstreams of the service are paused.
+     *
+     * @param remainingMillis the time until the deadline of the request, in milliseconds
+     * @param nowMillis the current time in milliseconds
+     * @return the time in milliseconds
+     */
+    long retryAfterMillis(long remainingMillis, long nowMillis) {
+        return pauses().retryAfterMillis(
+                        context.upstreams().available(admitted.service().name()), nowMillis)
+                .orElseGet(() -> context.admission().defaultRetryAfterMillis(remainingMillis));
+    }
+
+    private UpstreamPauses pauses() {
+        return context.upstreams().pauses();
+    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -45,6 +45,16 @@
             .help("Incarnations of upstreams that broke connections with requests, by whether they crashed.")
             .labelNames("service", "crashed")
             .register(registry);
+    private final Counter pauseRequests = Counter.builder()
+            .name("lovagethread_upstream_pause_requests_total")
+            .help("Pauses requested by upstreams, by service and form of the value.")
+            .labelNames("service", "form")
+            .register(registry);
+    private final Gauge pausedUpstreams = Gauge.builder()
+            .name("lovagethread_paused_upstreams")
+            .help("Upstreams that have requested a pause that has not ended, by service.")
+            .labelNames("service")
+            .register(registry);
     private final Gauge stateGauges = Gauge.builder()
             .name("lovagethread_state")
             .help("State of the gateway by name.")
@@ -101,6 +111,26 @@
         upstreamBreaks.labelValues(service, Boolean.toString(crashed)).inc();
     }
 
+    /**
+     * Counts a pause that an upstream has requested.
+     *
+     * @param service the name of its service
+     * @param form the label of the form of the value
+     */
+    public void recordPauseRequest(String service, String form) {
+        pauseRequests.labelValues(service, form).inc();
+    }
+
+    /**
+     * Sets the number of paused upstreams of a service.
+     *
+     * @param service the name of the service
+     * @param count the number
+     */
+    public void setPausedUpstreams(String service, int count) {
+        pausedUpstreams.labelValues(service).set(count);
+    }
+
     /**
      * Sets a gauge of the state of the gateway.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamTable.java
@@ -27,6 +27,7 @@
     /** Time for which a leaving mark is kept and sent to peers, in milliseconds. */
     public static final long LEAVING_MARK_MILLIS = 16_000;
 
+    private final UpstreamPauses pauses = new UpstreamPauses(Math::random);
     private final Map<String, Upstream> byId = new LinkedHashMap<>();
     private final Map<String, Grace> graceById = new HashMap<>();
     private final Map<LeavingMark, Long> leavingMarkDeadlines = new LinkedHashMap<>();
@@ -195,6 +196,26 @@
         return available;
     }
 
+    /**
+     * Returns the upstreams of a service that can receive new requests and have not requested a pause.
+     *
+     * @param service the name of the service
+     * @param nowMillis the current time in milliseconds
+     * @return the upstreams in the order in which they were added
+     */
+    public List<Upstream> unpaused(String service, long nowMillis) {
+        return pauses.withoutPaused(available(service), nowMillis);
+    }
+
+    /**
+     * Returns the pauses that upstreams have requested.
+     *
+     * @return the pauses
+     */
+    public UpstreamPauses pauses() {
+        return pauses;
+    }
+
     /**
      * Returns all upstreams.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/FleetManagerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/FleetManagerTest.java
@@ -21,6 +21,7 @@
 import org.lovagethread.gateway.config.ServiceSpec.FleetSpec;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.upstream.PauseRequest;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -186,6 +187,34 @@
         }
     }
 
+    @Nested
+    class PausedInstances {
+        private int countAfterPause(double seconds) {
+            startInstances(3);
+            play(LOW_TOKENS_PER_SECOND, 30_000);
+            List<Upstream> running = upstreams.available(SERVICE);
+            for (Upstream upstream : running) {
+                upstreams
+                        .pauses()
+                        .record(upstream.entry(), PauseRequest.ofSeconds(seconds), market.nowMillis, market.nowMillis);
+            }
+            play(LOW_TOKENS_PER_SECOND, 6_000);
+            return upstreams.available(SERVICE).size() - running.size();
+        }
+
+        /** Guards against paused instances that count as capacity. */
+        @Test
+        void areReplacedIfTheyPauseForLongerThanAnInstanceStarts() {
+            assertThat(countAfterPause(25)).isPositive();
+        }
+
+        /** Guards against orders of instances that start after the end of the pause. */
+        @Test
+        void areNotReplacedDuringAShortPause() {
+            assertThat(countAfterPause(1)).isLessThanOrEqualTo(0);
+        }
+    }
+
     @Nested
     class NewLeaseHolder {
         @Test
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -33,6 +33,7 @@
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
+import org.lovagethread.gateway.upstream.PauseRequest;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
@@ -56,6 +57,8 @@
     Optional<RuntimeException> responseFailure = Optional.empty();
     Optional<RuntimeException> sendFailure = Optional.empty();
     ExchangeRecord record;
+    long pauseMillis;
+    long retryAfterMillis;
     private final EngineModels engineModels = new EngineModels();
     private final TokenQuota quota = new TokenQuota(0, 0, 0, () -> 0.5);
     private final Placement placement = new Placement(new ZoneTopology("a", Map.of("a", "north")), engineModels);
@@ -176,6 +179,13 @@
         return response.headers().contains(LEAVING) ? LeavingNotice.LEAVING : LeavingNotice.NONE;
     }
 
+    @Override
+    public Optional<PauseRequest> pauseRequest(HttpResponse rejection) {
+        return pauseMillis > 0 && rejection.headers().contains(NOT_RUN)
+                ? Optional.of(new PauseRequest(PauseRequest.Form.REGULAR, pauseMillis))
+                : Optional.empty();
+    }
+
     @Override
     public boolean promisesNotRun(HttpResponseStatus status) {
         return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
@@ -207,8 +217,9 @@
     }
 
     @Override
-    public void sendError(ErrorKind kind, long retryAfterMillis) {
+    public void sendError(ErrorKind kind, long retryMillis) {
         response = kind.status() + " " + kind.label();
+        retryAfterMillis = retryMillis;
     }
 
     @Override
