--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
@@ -93,10 +93,13 @@
         }
     }
 
-    /** Records that the upstream stated that it did not run the request. */
+    /** Records that the upstream stated that it did not run the request, and the pause that it may have requested. */
     void recordRejection(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(false, nowMillis);
         attempt.rolloutSample.ifPresent(RolloutSample::recordFailure);
+        context.headerCodec().pauseRequest(attempt.response).ifPresent(pause -> context.upstreams()
+                .pauses()
+                .record(attempt.upstream.entry(), pause, attempt.sentMillis, nowMillis));
     }
 
     /** Records that the upstream failed the request, or did not complete it before the deadline. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -66,15 +66,15 @@
      */
     long observedMillis();
 
-    /** Returns whether a service has an upstream to which a request has not been sent yet. */
+    /** Returns whether a service has an upstream that is not paused and to which a request has not been sent yet. */
     default boolean hasUntriedUpstream(String service, Set<String> triedUpstreams) {
-        return upstreams().available(service).stream()
+        return upstreams().unpaused(service, nowMillis()).stream()
                 .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id()));
     }
 
     /** Returns whether a service has an upstream without recent failures to which a request has not been sent yet. */
     default boolean hasHealthyUpstream(String service, Set<String> triedUpstreams, long nowMillis) {
-        return upstreams().available(service).stream()
+        return upstreams().unpaused(service, nowMillis).stream()
                 .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id())
                         && !upstream.failureDetector().shouldAvoid(nowMillis));
     }
@@ -85,7 +85,7 @@
         double engineMillis =
                 engineModels().of(service).estimate(nowMillis).processingMillis((double) choice.unreadTokens());
         double capacity = Math.max(
-                1 / UpstreamSpeed.MAX_FACTOR, UpstreamSpeed.sum(upstreams().available(service), nowMillis));
+                1 / UpstreamSpeed.MAX_FACTOR, UpstreamSpeed.sum(upstreams().unpaused(service, nowMillis), nowMillis));
         return admission().retryAfterMillis(candidate, choice, engineMillis * gatewayCount() / capacity, nowMillis);
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -80,6 +80,7 @@
             new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFERED_RESPONSES);
     private final CrashReporter crashReporter;
     private final UpstreamSpeedMonitor speedMonitor;
+    private final PauseReporter pauseReporter;
     private final LagDetector lagDetector = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AddressPolicy addressPolicy;
@@ -129,13 +130,14 @@
         this.log = log;
         this.crashReporter = new CrashReporter(log, metrics);
         this.speedMonitor = new UpstreamSpeedMonitor(upstreams, log);
+        this.pauseReporter = new PauseReporter(log, metrics);
         PooledHttpClient httpClient =
                 new PooledHttpClient(loop, settings.bounds().silenceTimeouts());
         this.ports = portsFactory.apply(httpClient);
         GatewaySettings.Bounds bounds = settings.bounds();
         ZoneTopology zones = new ZoneTopology(settings.zone(), settings.regionByZone());
         this.addressPolicy = new AddressPolicy(zones);
-        this.quota = new TokenQuota(bounds.quotaTolerance(), bounds.quotaToleranceTokens());
+        this.quota = new TokenQuota(bounds.quotaTolerance(), bounds.quotaToleranceTokens(), nowMillis(), Math::random);
         this.peers = new PeerTable(settings.host(), settings.zone(), settings.capacity());
         this.zoneTraffic = new ZoneTrafficExchange(zones, crossZone, settings.node() + '#' + incarnation, log, metrics);
         this.placement = new Placement(zones, engineModels, zoneTraffic.routing());
@@ -269,12 +271,13 @@
             rollouts.tick(nowMillis);
             crashReporter.report(promptQuarantine.evaluate(upstreams, nowMillis), nowMillis);
             crashReporter.report(promptQuarantine.crashLog(), nowMillis);
+            pauseReporter.tick(upstreams, nowMillis);
             configuration().ifPresent(current -> fleetManager.tick(current, quota.tokensPerSecond(nowMillis)));
         }
         if (ticks % 25 == 0) {
             upstreamClient.tick(nowMillis);
             zoneTraffic.tick(nowMillis);
-            quota.expire(nowMillis);
+            quota.tick(gatewayCount(), nowMillis);
             speedMonitor.logChanges(nowMillis);
             for (String id : upstreams.expire(
                     sync.storeHealth().isReachable(), sync.storeHealth().recoveredMillis(), nowMillis)) {
@@ -329,11 +332,9 @@
         metrics.setState("requests_in_progress", callerServer.activeRequests());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("buffered_response_bytes", responseMemory.totalBytes());
-        metrics.setState("malformed_leaving_notices", upstreamClient.malformedLeavingNotices());
         rollouts.expose(metrics);
-        metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
-        metrics.setState("upstream_connections_with_surplus_bytes", upstreamClient.connectionsWithSurplusBytes());
         speedMonitor.updateMetrics(metrics, nowMillis());
+        upstreamClient.publish(metrics);
         return new SimpleHttpServer.Response(
                 HttpResponseStatus.OK, "text/plain; version=0.0.4", ByteString.copyFrom(metrics.exposition()));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -293,8 +293,9 @@
                 gateway.upstreams().all(),
                 now);
         gateway.promptQuarantine().updatePeer(process, PromptEvidenceCodec.decode(state.getCrashEvidence(), now), now);
+        long uptimeMillis = state.getWallClockMillis() - state.getIncarnation();
         state.getCustomersList()
-                .forEach(use -> gateway.quota().update(process, use.getCustomer(), use.getTokens(), now));
+                .forEach(use -> gateway.quota().update(process, uptimeMillis, use.getCustomer(), use.getTokens(), now));
         state.getWindowsList().forEach(count -> gateway.usage()
                 .update(process, count.getWindow(), count.getCustomer(), count.getRequests()));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
@@ -9,6 +9,7 @@
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.rollout.RolloutTable;
 import org.lovagethread.gateway.upstream.Upstream;
+import org.lovagethread.gateway.upstream.UpstreamPauses;
 
 /** Selects the upstream for the next attempt of a request, or decides that the request is refused. */
 final class UpstreamSelector {
@@ -65,7 +66,13 @@
         ServiceSpec service = admitted.service();
         boolean isFirstAttempt = triedUpstreams.isEmpty();
         Optional<Placement.Choice> choice = context.placement()
-                .choose(service, candidates, triedUpstreams, demand, route.isRetryable() && isFirstAttempt, nowMillis);
+                .choose(
+                        service,
+                        pauses().candidates(candidates, triedUpstreams, nowMillis),
+                        triedUpstreams,
+                        demand,
+                        route.isRetryable() && isFirstAttempt,
+                        nowMillis);
         if (choice.isEmpty()) {
             return new Unavailable();
         }
@@ -76,4 +83,22 @@
         }
         return new Send(choice.get());
     }
+
+    /**
+     * Returns the time after which a request should be sent again that no upstream has executed: when the first pause
+     * ends if all upstreams of the service are paused.
+     *
+     * @param remainingMillis the time until the deadline of the request, in milliseconds
+     * @param nowMillis the current time in milliseconds
+     * @return the time in milliseconds
+     */
+    long retryAfterMillis(long remainingMillis, long nowMillis) {
+        return pauses().retryAfterMillis(
+                        context.upstreams().available(admitted.service().name()), nowMillis)
+                .orElseGet(() -> context.admission().defaultRetryAfterMillis(remainingMillis));
+    }
+
+    private UpstreamPauses pauses() {
+        return context.upstreams().pauses();
+    }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -37,6 +37,7 @@
 import org.lovagethread.gateway.policy.ZoneTopology;
 import org.lovagethread.gateway.rollout.RolloutLog;
 import org.lovagethread.gateway.rollout.RolloutTable;
+import org.lovagethread.gateway.upstream.PauseRequest;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
@@ -66,8 +67,10 @@
     Optional<RuntimeException> responseFailure = Optional.empty();
     Optional<RuntimeException> sendFailure = Optional.empty();
     ExchangeRecord record;
+    long pauseMillis;
+    long retryAfterMillis;
     private final EngineModels engineModels = new EngineModels();
-    private final TokenQuota quota = new TokenQuota(0, 0);
+    private final TokenQuota quota = new TokenQuota(0, 0, 0, () -> 0.5);
     private final Placement placement = new Placement(new ZoneTopology("a", Map.of("a", "north")), engineModels);
 
     /** An attempt at an upstream, whose response the test determines. */
@@ -186,6 +189,13 @@
         return response.headers().contains(LEAVING) ? LeavingNotice.LEAVING : LeavingNotice.NONE;
     }
 
+    @Override
+    public Optional<PauseRequest> pauseRequest(HttpResponse rejection) {
+        return pauseMillis > 0 && rejection.headers().contains(NOT_RUN)
+                ? Optional.of(new PauseRequest(PauseRequest.Form.REGULAR, pauseMillis))
+                : Optional.empty();
+    }
+
     @Override
     public boolean promisesNotRun(HttpResponseStatus status) {
         return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
@@ -217,8 +227,9 @@
     }
 
     @Override
-    public void sendError(ErrorKind kind, long retryAfterMillis) {
+    public void sendError(ErrorKind kind, long retryMillis) {
         response = kind.status() + " " + kind.label();
+        retryAfterMillis = retryMillis;
     }
 
     @Override
