Refuse fewer large requests below a quota

Change: the parts may exceed the level by the whole tolerance together; of a request larger than the gateway's part of the tolerance 0.3 must fit.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/TokenQuota.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/TokenQuota.java
@@ -42,10 +42,16 @@
 
     /**
      * Share of the tolerance by which the limits of all gateways together may exceed the level, since a gateway's part
-     * of a small quota is less than one request. Not all gateways reach their limits before they receive reports: 0.7
-     * used slightly more than half of the tolerance in increases of nine times.
+     * of a small quota is less than one request. Not all gateways reach their limits before they receive reports.
      */
-    private static final double ROUNDING_TOLERANCE_SHARE = 0.6;
+    private static final double ROUNDING_TOLERANCE_SHARE = 1.0;
+
+    /**
+     * Share of a request that must be within the limit if it exceeds the gateway's part of the tolerance. If all of it
+     * had to be, two large requests that a gateway receives shortly after each other would be refused although the
+     * customer is below its quota.
+     */
+    private static final double LARGE_REQUEST_SHARE = 0.3;
 
     private final double tolerance;
     private final double toleranceTokens;
@@ -141,9 +147,10 @@
         double totalRate = ownRate + bucket.peerRate(nowMillis);
         double refillRate = customer.tokensPerSecond() / MILLIS_PER_SECOND;
         double expected = Math.min(totalRate, refillRate) * horizonMillis / 2;
-        double limit = new GrantLimit(ownRate, totalRate, sharing).tokens(bucket.level + unknown, expected)
-                + roundingTokens(customer) / sharing;
-        boolean isWithin = unknown + needed <= limit || isRoundedUp(bucket, needed, limit, horizonMillis, nowMillis);
+        double rounding = roundingTokens(customer) / sharing;
+        double limit = new GrantLimit(ownRate, totalRate, sharing).tokens(bucket.level + unknown, expected) + rounding;
+        double limited = needed <= rounding ? needed : LARGE_REQUEST_SHARE * needed;
+        boolean isWithin = unknown + limited <= limit || isRoundedUp(bucket, needed, limit, horizonMillis, nowMillis);
         bucket.limitWaitMillis = isWithin ? 0 : (long) horizonMillis / 2;
         return isWithin;
     }
