--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -149,7 +149,7 @@
     private void apply(CellState state, long nowMillis) {
         String cell = CELL_PREFIX + state.getZone();
         gateway.zoneTraffic().apply(state, nowMillis);
-        gateway.rolloutService().applyCell(cell, state.getMembers(), state.getUnknownFields(), nowMillis);
+        gateway.rolloutService().applyCell(cell, state.getMembers(), state.getRolloutsList(), nowMillis);
         LeavingMarkCodec.applyPeer(
                 state.getLeavingUpstreamsList(), state.getLeavingRemainingMillisList(), gateway.upstreams(), nowMillis);
         state.getResignedTermsList().forEach(gateway.lease()::recordPeerResignation);
@@ -254,8 +254,8 @@
         if (includesUsageCounts()) {
             addUsageCounts(state);
         }
-        state.setUnknownFields(
-                gateway.rolloutService().cellFields(sequence % SUMMARIES_PER_ROLLOUT_STATISTICS == 0, nowMillis));
+        state.addAllRollouts(
+                gateway.rolloutService().cellSummaries(sequence % SUMMARIES_PER_ROLLOUT_STATISTICS == 0, nowMillis));
         return state.mergeUnknownFields(gateway.zoneTraffic().reportForCells(nowMillis))
                 .setCrashEvidence(PromptEvidenceCodec.encode(
                         gateway.promptQuarantine().combinedEvidence(peer -> !peer.startsWith(CELL_PREFIX), nowMillis),
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -227,7 +227,7 @@
             nextCountsMillis = nowMillis + COUNTS_INTERVAL_MILLIS;
             addUsageCounts(state, nowMillis);
         }
-        state.setUnknownFields(gateway.rolloutService().gatewayFields(nowMillis));
+        state.addAllRollouts(gateway.rolloutService().gatewaySummaries(nowMillis));
         return state.mergeUnknownFields(
                         gateway.zoneTraffic().reportForPeers(gateway.peers().usesCells(), nowMillis))
                 .setCrashEvidence(
@@ -270,7 +270,7 @@
 
     private void apply(GatewayState state, long now) {
         String process = state.getNode() + '#' + state.getIncarnation();
-        gateway.rolloutService().applyGateway(process, state.getUnknownFields(), now);
+        gateway.rolloutService().applyGateway(process, state.getRolloutsList(), now);
         gateway.clock().update(state.getNode(), state.getWallClockMillis(), now);
         gateway.lease().recordPeerResignation(state.getResignedTerm());
         gateway.zoneTraffic().apply(state, process, now);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
@@ -1,6 +1,6 @@
 package org.lovagethread.gateway.http;
 
-import com.google.protobuf.UnknownFieldSet;
+import java.util.List;
 import java.util.function.LongSupplier;
 import org.lovagethread.gateway.log.GatewayMetrics;
 import org.lovagethread.gateway.policy.ZoneTopology;
@@ -12,6 +12,7 @@
 import org.lovagethread.gateway.rollout.RolloutTable;
 import org.lovagethread.gateway.store.KindWatcher;
 import org.lovagethread.gateway.store.ObjectKind;
+import org.lovagethread.wire.generated.RolloutSummary;
 
 /** Connects the rollouts of a gateway with the store, its peers and its metrics. */
 final class RolloutService {
@@ -87,38 +88,33 @@
         controller.tick();
     }
 
-    /** Returns the fields of the state of this gateway that describe its rollouts. */
-    UnknownFieldSet gatewayFields(long nowMillis) {
+    /** Returns what the state of this gateway contains about its rollouts. */
+    List<RolloutSummary> gatewaySummaries(long nowMillis) {
         boolean withStatistics = nowMillis >= nextStatisticsMillis;
         if (withStatistics) {
             nextStatisticsMillis = nowMillis + STATISTICS_INTERVAL_MILLIS;
         }
-        return RolloutReportCodec.encode(
-                table.reports(reporter -> false, nowMillis),
-                RolloutReportCodec.GATEWAY_FIELD,
-                withStatistics,
-                nowMillis);
+        return RolloutReportCodec.encode(table.reports(reporter -> false, nowMillis), withStatistics, nowMillis);
     }
 
-    /** Returns the fields of the summary of this cell that describe its rollouts. */
-    UnknownFieldSet cellFields(boolean withStatistics, long nowMillis) {
+    /** Returns what the summary of this cell contains about its rollouts. */
+    List<RolloutSummary> cellSummaries(boolean withStatistics, long nowMillis) {
         return RolloutReportCodec.encode(
                 table.reports(reporter -> !reporter.startsWith(CellExchange.CELL_PREFIX), nowMillis),
-                RolloutReportCodec.CELL_FIELD,
                 withStatistics,
                 nowMillis);
     }
 
     /** Applies the state of a peer. It speaks for one gateway only. */
-    void applyGateway(String process, UnknownFieldSet fields, long nowMillis) {
-        for (RolloutReport report : RolloutReportCodec.decode(fields, RolloutReportCodec.GATEWAY_FIELD, nowMillis)) {
+    void applyGateway(String process, List<RolloutSummary> summaries, long nowMillis) {
+        for (RolloutReport report : RolloutReportCodec.decode(summaries, nowMillis)) {
             table.applyReport(process, report.withStoppedAtMost(1), nowMillis);
         }
     }
 
     /** Applies the summary of another cell. */
-    void applyCell(String cell, int members, UnknownFieldSet fields, long nowMillis) {
-        for (RolloutReport report : RolloutReportCodec.decode(fields, RolloutReportCodec.CELL_FIELD, nowMillis)) {
+    void applyCell(String cell, int members, List<RolloutSummary> summaries, long nowMillis) {
+        for (RolloutReport report : RolloutReportCodec.decode(summaries, nowMillis)) {
             table.applyReport(cell, report.withStoppedAtMost(members), nowMillis);
         }
     }
