Use generated classes for speeds of upstreams

PeerExchange and CellExchange added the speeds to the unknown fields and then replaced all unknown fields with the reports of rollouts, so that speeds were never sent. Since both are declared fields, they are.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -156,11 +156,7 @@
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), cell, gateway.upstreams(), nowMillis);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), cell, gateway.engineModels(), nowMillis);
         UpstreamSpeedCodec.applyPeer(
-                state.getUnknownFields(),
-                UpstreamSpeedCodec.CELL_FIELD,
-                cell,
-                gateway.upstreams().all(),
-                nowMillis);
+                state.getSpeeds(), cell, gateway.upstreams().all(), nowMillis);
         gateway.promptQuarantine()
                 .updatePeer(cell, PromptEvidenceCodec.decode(state.getCrashEvidence(), nowMillis), nowMillis);
         state.getCustomersList().forEach(use -> gateway.quota()
@@ -270,10 +266,9 @@
     private void addUsageCounts(CellState.Builder state) {
         state.addAllEngines(EngineStatisticsCodec.encode(
                 gateway.engineModels(), model -> model.totalExcept(peer -> peer.startsWith(CELL_PREFIX))));
-        state.mergeUnknownFields(speedCodec.encode(
-                UpstreamSpeedCodec.CELL_FIELD,
-                gateway.upstreams().all(),
-                speed -> speed.totalExcept(peer -> peer.startsWith(CELL_PREFIX))));
+        speedCodec
+                .encode(gateway.upstreams().all(), speed -> speed.totalExcept(peer -> peer.startsWith(CELL_PREFIX)))
+                .ifPresent(state::setSpeeds);
         gateway.usage()
                 .latestExcept(PeerExchange.REPORTED_WINDOWS, CELL_PREFIX)
                 .forEach((window, counts) ->
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -237,8 +237,7 @@
 
     private void addUsageCounts(GatewayState.Builder state, long nowMillis) {
         state.addAllEngines(EngineStatisticsCodec.encode(gateway.engineModels(), EngineModel::local));
-        state.mergeUnknownFields(speedCodec.encode(
-                UpstreamSpeedCodec.GATEWAY_FIELD, gateway.upstreams().all(), UpstreamSpeed::local));
+        speedCodec.encode(gateway.upstreams().all(), UpstreamSpeed::local).ifPresent(state::setSpeeds);
         gateway.peers()
                 .livePeers(nowMillis)
                 .forEach(peer -> state.addHeardHosts(peer.state().getHost()));
@@ -287,11 +286,7 @@
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), state.getNode(), gateway.upstreams(), now);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), process, gateway.engineModels(), now);
         UpstreamSpeedCodec.applyPeer(
-                state.getUnknownFields(),
-                UpstreamSpeedCodec.GATEWAY_FIELD,
-                process,
-                gateway.upstreams().all(),
-                now);
+                state.getSpeeds(), process, gateway.upstreams().all(), now);
         gateway.promptQuarantine().updatePeer(process, PromptEvidenceCodec.decode(state.getCrashEvidence(), now), now);
         long uptimeMillis = state.getWallClockMillis() - state.getIncarnation();
         state.getCustomersList()
