Use generated classes for traffic between zones

Malformed bytes inside a declared message make the whole datagram unreadable, which PeerDatagramChannel handles.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -252,7 +252,7 @@
         }
         state.addAllRollouts(
                 gateway.rolloutService().cellSummaries(sequence % SUMMARIES_PER_ROLLOUT_STATISTICS == 0, nowMillis));
-        return state.mergeUnknownFields(gateway.zoneTraffic().reportForCells(nowMillis))
+        return state.addAllZoneFlows(gateway.zoneTraffic().reportForCells(nowMillis))
                 .setCrashEvidence(PromptEvidenceCodec.encode(
                         gateway.promptQuarantine().combinedEvidence(peer -> !peer.startsWith(CELL_PREFIX), nowMillis),
                         nowMillis))
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -228,7 +228,7 @@
             addUsageCounts(state, nowMillis);
         }
         state.addAllRollouts(gateway.rolloutService().gatewaySummaries(nowMillis));
-        return state.mergeUnknownFields(
+        return state.addAllZoneFlows(
                         gateway.zoneTraffic().reportForPeers(gateway.peers().usesCells(), nowMillis))
                 .setCrashEvidence(
                         PromptEvidenceCodec.encode(gateway.promptQuarantine().localEvidence(nowMillis), nowMillis))
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ZoneTrafficExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ZoneTrafficExchange.java
@@ -1,6 +1,6 @@
 package org.lovagethread.gateway.http;
 
-import com.google.protobuf.UnknownFieldSet;
+import java.util.List;
 import java.util.Map;
 import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.log.EventLog;
@@ -10,6 +10,7 @@
 import org.lovagethread.gateway.policy.ZoneTraffic;
 import org.lovagethread.wire.generated.CellState;
 import org.lovagethread.wire.generated.GatewayState;
+import org.lovagethread.wire.generated.ZoneFlow;
 
 /** Exchanges the traffic between zones with peers, and reports it in the log and the metrics. */
 final class ZoneTrafficExchange {
@@ -57,24 +58,23 @@
         return followsDemand ? routing.traffic().demandByZone(service, nowMillis) : Map.of();
     }
 
-    /** Returns the fields that the next state of this gateway contains in addition; none if no report is due. */
-    UnknownFieldSet reportForPeers(boolean usesCells, long nowMillis) {
+    /** Returns the flows that the next state of this gateway contains; none if no report is due. */
+    List<ZoneFlow> reportForPeers(boolean usesCells, long nowMillis) {
         if (nowMillis < nextReportMillis || hasOneZone()) {
-            return UnknownFieldSet.getDefaultInstance();
+            return List.of();
         }
         nextReportMillis = nowMillis + (usesCells ? CELL_INTERVAL_MILLIS : MESH_INTERVAL_MILLIS);
-        return ZoneTrafficCodec.encode(routing.traffic().report(), ZoneTrafficCodec.GATEWAY_STATE_FIELD);
+        return ZoneTrafficCodec.encode(routing.traffic().report());
     }
 
-    /** Returns the fields that the next summary of the cell contains in addition; none if no report is due. */
-    UnknownFieldSet reportForCells(long nowMillis) {
+    /** Returns the flows that the next summary of the cell contains; none if no report is due. */
+    List<ZoneFlow> reportForCells(long nowMillis) {
         if (nowMillis < nextSummaryMillis || hasOneZone()) {
-            return UnknownFieldSet.getDefaultInstance();
+            return List.of();
         }
         nextSummaryMillis = nowMillis + CELL_INTERVAL_MILLIS;
         return ZoneTrafficCodec.encode(
-                routing.traffic().report(sender -> !sender.startsWith(CellExchange.CELL_PREFIX)),
-                ZoneTrafficCodec.CELL_STATE_FIELD);
+                routing.traffic().report(sender -> !sender.startsWith(CellExchange.CELL_PREFIX)));
     }
 
     private boolean hasOneZone() {
@@ -85,11 +85,7 @@
     void apply(GatewayState state, String process, long nowMillis) {
         routing.traffic().recordHeard(state.getZone(), nowMillis);
         routing.traffic()
-                .update(
-                        process,
-                        state.getZone(),
-                        ZoneTrafficCodec.decode(state.getUnknownFields(), ZoneTrafficCodec.GATEWAY_STATE_FIELD),
-                        nowMillis);
+                .update(process, state.getZone(), ZoneTrafficCodec.decode(state.getZoneFlowsList()), nowMillis);
     }
 
     /** Applies the summary of another cell. */
@@ -99,7 +95,7 @@
                 .update(
                         CellExchange.CELL_PREFIX + state.getSpeaker(),
                         state.getZone(),
-                        ZoneTrafficCodec.decode(state.getUnknownFields(), ZoneTrafficCodec.CELL_STATE_FIELD),
+                        ZoneTrafficCodec.decode(state.getZoneFlowsList()),
                         nowMillis);
     }
 
