--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -149,18 +149,14 @@
     private void apply(CellState state, long nowMillis) {
         String cell = CELL_PREFIX + state.getZone();
         gateway.zoneTraffic().apply(state, nowMillis);
-        gateway.rolloutService().applyCell(cell, state.getMembers(), state.getUnknownFields(), nowMillis);
+        gateway.rolloutService().applyCell(cell, state.getMembers(), state.getRolloutsList(), nowMillis);
         LeavingMarkCodec.applyPeer(
                 state.getLeavingUpstreamsList(), state.getLeavingRemainingMillisList(), gateway.upstreams(), nowMillis);
         state.getResignedTermsList().forEach(gateway.lease()::recordPeerResignation);
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), cell, gateway.upstreams(), nowMillis);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), cell, gateway.engineModels(), nowMillis);
         UpstreamSpeedCodec.applyPeer(
-                state.getUnknownFields(),
-                UpstreamSpeedCodec.CELL_FIELD,
-                cell,
-                gateway.upstreams().all(),
-                nowMillis);
+                state.getSpeeds(), cell, gateway.upstreams().all(), nowMillis);
         gateway.promptQuarantine()
                 .updatePeer(cell, PromptEvidenceCodec.decode(state.getCrashEvidence(), nowMillis), nowMillis);
         state.getCustomersList().forEach(use -> gateway.quota()
@@ -254,9 +250,9 @@
         if (includesUsageCounts()) {
             addUsageCounts(state);
         }
-        state.setUnknownFields(
-                gateway.rolloutService().cellFields(sequence % SUMMARIES_PER_ROLLOUT_STATISTICS == 0, nowMillis));
-        return state.mergeUnknownFields(gateway.zoneTraffic().reportForCells(nowMillis))
+        state.addAllRollouts(
+                gateway.rolloutService().cellSummaries(sequence % SUMMARIES_PER_ROLLOUT_STATISTICS == 0, nowMillis));
+        return state.addAllZoneFlows(gateway.zoneTraffic().reportForCells(nowMillis))
                 .setCrashEvidence(PromptEvidenceCodec.encode(
                         gateway.promptQuarantine().combinedEvidence(peer -> !peer.startsWith(CELL_PREFIX), nowMillis),
                         nowMillis))
@@ -270,10 +266,9 @@
     private void addUsageCounts(CellState.Builder state) {
         state.addAllEngines(EngineStatisticsCodec.encode(
                 gateway.engineModels(), model -> model.totalExcept(peer -> peer.startsWith(CELL_PREFIX))));
-        state.mergeUnknownFields(speedCodec.encode(
-                UpstreamSpeedCodec.CELL_FIELD,
-                gateway.upstreams().all(),
-                speed -> speed.totalExcept(peer -> peer.startsWith(CELL_PREFIX))));
+        speedCodec
+                .encode(gateway.upstreams().all(), speed -> speed.totalExcept(peer -> peer.startsWith(CELL_PREFIX)))
+                .ifPresent(state::setSpeeds);
         gateway.usage()
                 .latestExcept(PeerExchange.REPORTED_WINDOWS, CELL_PREFIX)
                 .forEach((window, counts) ->
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -227,8 +227,8 @@
             nextCountsMillis = nowMillis + COUNTS_INTERVAL_MILLIS;
             addUsageCounts(state, nowMillis);
         }
-        state.setUnknownFields(gateway.rolloutService().gatewayFields(nowMillis));
-        return state.mergeUnknownFields(
+        state.addAllRollouts(gateway.rolloutService().gatewaySummaries(nowMillis));
+        return state.addAllZoneFlows(
                         gateway.zoneTraffic().reportForPeers(gateway.peers().usesCells(), nowMillis))
                 .setCrashEvidence(
                         PromptEvidenceCodec.encode(gateway.promptQuarantine().localEvidence(nowMillis), nowMillis))
@@ -237,8 +237,7 @@
 
     private void addUsageCounts(GatewayState.Builder state, long nowMillis) {
         state.addAllEngines(EngineStatisticsCodec.encode(gateway.engineModels(), EngineModel::local));
-        state.mergeUnknownFields(speedCodec.encode(
-                UpstreamSpeedCodec.GATEWAY_FIELD, gateway.upstreams().all(), UpstreamSpeed::local));
+        speedCodec.encode(gateway.upstreams().all(), UpstreamSpeed::local).ifPresent(state::setSpeeds);
         gateway.peers()
                 .livePeers(nowMillis)
                 .forEach(peer -> state.addHeardHosts(peer.state().getHost()));
@@ -270,7 +269,7 @@
 
     private void apply(GatewayState state, long now) {
         String process = state.getNode() + '#' + state.getIncarnation();
-        gateway.rolloutService().applyGateway(process, state.getUnknownFields(), now);
+        gateway.rolloutService().applyGateway(process, state.getRolloutsList(), now);
         gateway.clock().update(state.getNode(), state.getWallClockMillis(), now);
         gateway.lease().recordPeerResignation(state.getResignedTerm());
         gateway.zoneTraffic().apply(state, process, now);
@@ -287,11 +286,7 @@
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), state.getNode(), gateway.upstreams(), now);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), process, gateway.engineModels(), now);
         UpstreamSpeedCodec.applyPeer(
-                state.getUnknownFields(),
-                UpstreamSpeedCodec.GATEWAY_FIELD,
-                process,
-                gateway.upstreams().all(),
-                now);
+                state.getSpeeds(), process, gateway.upstreams().all(), now);
         gateway.promptQuarantine().updatePeer(process, PromptEvidenceCodec.decode(state.getCrashEvidence(), now), now);
         long uptimeMillis = state.getWallClockMillis() - state.getIncarnation();
         state.getCustomersList()
