Report flows that leave the zone first

Cause: the six flows of a report were chosen by their lifetime totals, so one that had just started to leave was missing, and a summary could contain senders of other zones. Change: flows with a share come first; a summary contains senders of the own zone only. Result: ZoneTrafficTest passes with two new tests.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/ZoneTraffic.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/ZoneTraffic.java
@@ -18,7 +18,7 @@
  * of a silent sender is dropped.
  */
 public final class ZoneTraffic {
-    /** Maximum number of flows in a report; the smallest ones are left out. */
+    /** Maximum number of flows in a report; flows with a share come first, then the largest. */
     public static final int MAX_REPORTED_FLOWS = 6;
 
     /** Age from which the report of a sender is dropped. Reports are sent every few seconds, in milliseconds. */
@@ -258,7 +258,7 @@
     /**
      * Returns the report of this gateway.
      *
-     * @return its largest flows, {@link #MAX_REPORTED_FLOWS} at most
+     * @return its flows with a share and its largest flows, {@link #MAX_REPORTED_FLOWS} at most
      */
     public List<Flow> report() {
         return largest(localFlows());
@@ -267,14 +267,14 @@
     /**
      * Returns the report of this gateway and of the senders of its cell together.
      *
-     * @param isOfCell selects the names of the senders to include
-     * @return the largest flows, {@link #MAX_REPORTED_FLOWS} at most
+     * @param isOfCell selects the names of the senders to include; those of other zones are never included
+     * @return the flows with a share and the largest flows, {@link #MAX_REPORTED_FLOWS} at most
      */
     public List<Flow> report(Predicate<String> isOfCell) {
         Map<FlowKey, Flow> sums = new HashMap<>();
         localFlows().forEach(flow -> sums.merge(flow.key(), flow, Flow::plus));
         senders.forEach((name, sender) -> {
-            if (isOfCell.test(name)) {
+            if (sender.zone.equals(zones.zone()) && isOfCell.test(name)) {
                 for (ReportedFlow flow : sender.flows.values()) {
                     sums.merge(flow.accumulated.key(), flow.accumulated.plus(shareOf(flow.latest)), Flow::plus);
                 }
@@ -289,7 +289,8 @@
 
     private static List<Flow> largest(List<Flow> flows) {
         return flows.stream()
-                .sorted(Comparator.comparingLong((Flow flow) -> flow.tokens() + flow.bytes())
+                .sorted(Comparator.comparing((Flow flow) -> flow.share() > 0)
+                        .thenComparingLong(flow -> flow.tokens() + flow.bytes())
                         .reversed())
                 .limit(MAX_REPORTED_FLOWS)
                 .toList();
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/ZoneTrafficTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/ZoneTrafficTest.java
@@ -52,6 +52,24 @@
             assertThat(traffic.report().get(0).service()).isEqualTo("s49");
         }
 
+        /** Guards against a zone that starts to send to another one although that already sends to it. */
+        @Test
+        void containFlowThatHasJustStartedToLeave() {
+            for (int i = 0; i < 50; i++) {
+                traffic.recordSent("s" + i, "a", 1_000, 1_000, 0);
+            }
+            traffic.recordShare(SERVICE, "b", 0.05);
+            assertThat(traffic.report().get(0).zone()).isEqualTo("b");
+        }
+
+        /** Guards against traffic of another zone that is counted as that of this cell. */
+        @Test
+        void ofCellContainNoOtherZone() {
+            traffic.update("b1", "b", List.of(flow("b", 0, 0, 0, 0.1)), 0);
+            traffic.update("b1", "b", List.of(flow("b", 5_000, 0, 0, 0.2)), 1_000);
+            assertThat(traffic.report(sender -> true)).isEmpty();
+        }
+
         /** Guards against a summary that jumps when a member with large totals joins the cell. */
         @Test
         void ofCellContainOnlyTrafficSinceFirstReport() {
