Admit to free slots and count only usable upstreams of the zone

Cause: one typical time for all routes of a plain service refused requests although a slot was free. Upstreams with recent failures counted as capacity of the zone. A trial ended the placement before the sample was complete, and utilization was not sampled while a service was not controlled. Change: a plain request that finds a free slot is admitted; upstreams with recent failures do not count; samples end with every placement.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Admission.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Admission.java
@@ -64,14 +64,16 @@
     private final Map<String, Long> lastReturnMillis = new HashMap<>();
 
     /**
-     * Returns whether a request is expected to be served in time.
+     * Returns whether a request is expected to be served in time. One to a plain service that finds a free slot is always
+     * admitted, because the predicted time is that of all routes together and a slow one would exclude the fast ones.
      *
      * @param candidate the request
      * @param choice the best upstream
      * @return false if the request should be refused immediately
      */
     public boolean admits(Candidate candidate, Placement.Choice choice) {
-        return choice.predictedLatencyMillis() < candidate.maxLatencyMillis(choice);
+        boolean startsAtOnce = !candidate.route().isStreaming() && choice.isPlainWithFreeSlot();
+        return startsAtOnce || choice.predictedLatencyMillis() < candidate.maxLatencyMillis(choice);
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrossZoneRouting.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrossZoneRouting.java
@@ -263,14 +263,15 @@
                     : Math.max(0, (SPARE_UTILIZATION - zone.utilization) / SPARE_UTILIZATION);
         }
 
+        /** Returns the number of own upstreams without recent failures; zero if the request was sent to all of them. */
         private int ownUpstreams(List<Upstream> candidates, Set<String> excluded, long now) {
             int usable = 0;
             int all = 0;
             for (Upstream upstream : candidates) {
                 if (upstream.entry().zone().equals(zones.zone())) {
-                    all++;
-                    boolean tried = excluded.contains(upstream.entry().id());
-                    usable += tried || upstream.failureDetector().shouldAvoid(now) ? 0 : 1;
+                    boolean avoided = upstream.failureDetector().shouldAvoid(now);
+                    all += avoided ? 0 : 1;
+                    usable += avoided || excluded.contains(upstream.entry().id()) ? 0 : 1;
                 }
             }
             return usable == 0 ? 0 : all;
@@ -353,13 +354,16 @@
 
         /** Ends the placement of the request and adapts the shares if that is due. */
         void end() {
-            Zone own = byName.get(zones.zone());
-            if (!settings.enabled() || !controlled || own == null) {
+            if (!settings.enabled()) {
                 return;
             }
             if (sampling) {
                 all.forEach(this::applySample);
             }
+            Zone own = byName.get(zones.zone());
+            if (!controlled || own == null) {
+                return;
+            }
             for (Zone zone : all) {
                 if (zone.isOwn()) {
                     continue;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
@@ -115,7 +115,12 @@
             long queuedTokens,
             double predictedLatencyMillis,
             double processingMillis,
-            boolean waitsForCapacity) {}
+            boolean waitsForCapacity) {
+        /** Returns whether the upstream is that of a plain service and probably has a free slot for the request. */
+        boolean isPlainWithFreeSlot() {
+            return queuedTokens == 0 && !waitsForCapacity;
+        }
+    }
 
     /** Properties of the candidates for one request. */
     private record Context(
@@ -148,33 +153,29 @@
             boolean trialAllowed,
             long nowMillis) {
         EngineEstimate estimate = models.of(service.name()).estimate(nowMillis);
-        Context context = new Context(
-                service.engine(),
-                estimate,
-                demand,
-                preferredEngine(candidates, demand, estimate, nowMillis),
-                models.of(service.name()).speedBaseline().typical(),
-                medianDeviation(candidates),
-                nowMillis);
+        Context context = context(service, candidates, estimate, demand, nowMillis);
         CrossZoneRouting.ServiceZones serviceZones = routing.begin(service.name(), candidates, excluded, nowMillis);
         Choice best = null;
         double bestScore = Double.MAX_VALUE;
+        Choice trial = null;
         Choice lastResort = null;
         double lastResortScore = Double.MAX_VALUE;
         for (Upstream upstream : candidates) {
             if (excluded.contains(upstream.entry().id())) {
                 continue;
             }
-            Choice choice =
-                    service.engine().isEmpty() ? predictPlain(context, upstream) : predictEngine(context, upstream);
+            Choice choice = predict(context, upstream);
             double localScore = choice.predictedLatencyMillis() + reprocessingPenaltyMillis(context, choice);
             double score = localScore + networkCostMillis(serviceZones, context, upstream);
             boolean avoided = upstream.failureDetector().shouldAvoid(nowMillis);
             if (!avoided) {
                 serviceZones.record(choice, estimate, localScore);
             }
-            if (avoided && trialAllowed && upstream.failureDetector().tryAcquireTrial(nowMillis)) {
-                return Optional.of(choice);
+            if (avoided
+                    && trialAllowed
+                    && trial == null
+                    && upstream.failureDetector().tryAcquireTrial(nowMillis)) {
+                trial = choice;
             }
             if (avoided && score < lastResortScore) {
                 lastResort = choice;
@@ -185,7 +186,23 @@
             }
         }
         serviceZones.end();
-        return Optional.ofNullable(best != null ? best : lastResort);
+        return Optional.ofNullable(trial != null ? trial : best != null ? best : lastResort);
+    }
+
+    private Context context(
+            ServiceSpec service, List<Upstream> candidates, EngineEstimate estimate, Demand demand, long nowMillis) {
+        return new Context(
+                service.engine(),
+                estimate,
+                demand,
+                preferredEngine(candidates, demand, estimate, nowMillis),
+                models.of(service.name()).speedBaseline().typical(),
+                medianDeviation(candidates),
+                nowMillis);
+    }
+
+    private Choice predict(Context context, Upstream upstream) {
+        return context.engine().isEmpty() ? predictPlain(context, upstream) : predictEngine(context, upstream);
     }
 
     /**
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/AdmissionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/AdmissionTest.java
@@ -37,6 +37,19 @@
         return new Placement.Choice(UPSTREAM, 1_000, 1_000, predictedMillis, processingMillis, false);
     }
 
+    @Nested
+    class PlainRequests {
+        /** Guards against fast requests that are refused because other routes of the service are slow. */
+        @Test
+        void areAdmittedToFreeSlotsHoweverSlowTheServiceIs() {
+            Placement.Choice free = new Placement.Choice(UPSTREAM, 0, 0, 2 * TIMEOUT_MILLIS, TIMEOUT_MILLIS, false);
+            Placement.Choice full = new Placement.Choice(UPSTREAM, 0, 0, 2 * TIMEOUT_MILLIS, TIMEOUT_MILLIS, true);
+            Admission.Candidate request = candidate(RouteKind.IDEMPOTENT, OptionalLong.empty());
+            assertThat(admission.admits(request, free)).isTrue();
+            assertThat(admission.admits(request, full)).isFalse();
+        }
+    }
+
     @Nested
     class Streams {
         @Test
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrossZoneRoutingTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrossZoneRoutingTest.java
@@ -133,6 +133,26 @@
                     .isGreaterThan(30);
         }
 
+        /** Guards against upstreams with recent failures that count as capacity, so that requests wait for the others. */
+        @Test
+        void leaveByCostIfMostOwnUpstreamsFail() {
+            upstreams.stream()
+                    .filter(upstream ->
+                            Set.of("i-a3", "i-a4").contains(upstream.entry().id()))
+                    .forEach(upstream -> upstream.failureDetector().recordUnreachable(nowMillis, 60_000));
+            assertThat(play(placement, 20, Map.of("a", SLOTS, "b", 0, "c", 0))).containsOnly("b");
+        }
+
+        /** Guards against costs of a destination that stay as they were before it was loaded. */
+        @Test
+        void followUtilizationWhileOwnUpstreamsAreFew() {
+            upstreams.removeIf(
+                    upstream -> Set.of("i-a3", "i-a4").contains(upstream.entry().id()));
+            List<String> sentTo = play(placement, 200, Map.of("a", SLOTS, "b", SLOTS - 1, "c", SLOTS));
+            assertThat(sentTo.get(0)).isEqualTo("b");
+            assertThat(sentTo.subList(150, 200)).containsOnly("a");
+        }
+
         /** Guards against a retry that is held in a zone whose upstreams were all tried. */
         @Test
         void leaveAtOnceIfAllOwnUpstreamsWereTried() {
