Let the lease holder follow changed orders and late verdicts

Cause: in cells the holder does not watch the orders and used the one that it had read first, so a second order was never taken up and a repeated one inherited the old deadline. A task for an earlier target wrote its stage into the new rollout, a conflict with an unreadable order was repeated without delay, and completed was written after the deadline at once. Change: the holder watches and reads the order when a later revision is known; replaced tasks are cancelled; the revision of an unreadable order is kept, with a delay after a conflict; a late completed waits 5 s; traffic is shifted for at least 1.5 s, and what does not fit is rolled back.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
@@ -74,7 +74,10 @@
         if (!enabled) {
             return;
         }
-        boolean shouldWatch = gateway.sync().isWatching() && gateway.sync().isComplete();
+        // The lease holder writes to the orders, so it reads them itself even if its speaker watches the store for it.
+        boolean isHolder = gateway.lease().fencingToken().isPresent();
+        boolean shouldWatch =
+                (isHolder || gateway.sync().isWatching()) && gateway.sync().isComplete();
         if (shouldWatch != watching) {
             watching = shouldWatch;
             if (watching) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutController.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutController.java
@@ -59,6 +59,7 @@
     /** Makes the calls that are due. Without the lease, forgets what was read under an earlier one. */
     public void tick() {
         if (fencingToken.get().isEmpty()) {
+            tasks.values().forEach(RolloutTask::cancel);
             tasks.clear();
             return;
         }
@@ -67,7 +68,7 @@
             RolloutTask task = tasks.get(service);
             if (task == null || !task.concerns(rollout.orElseThrow())) {
                 task = new RolloutTask(context, rollout.orElseThrow());
-                tasks.put(service, task);
+                Optional.ofNullable(tasks.put(service, task)).ifPresent(RolloutTask::cancel);
             }
             task.tick();
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutDecision.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutDecision.java
@@ -21,6 +21,12 @@
     /** Part of the duration after which a rollout is completed; two calls to the store fit before the deadline. */
     private static final double COMPLETION = 0.82;
 
+    /** Minimum time for which traffic is shifted before completion, so that requests at the old version can end. */
+    private static final long MIN_SHIFTING_MILLIS = 1_500;
+
+    /** Time before the deadline by which a rollout must be completed, so that all gateways learn of it. */
+    private static final long COMPLETION_MARGIN_MILLIS = 1_000;
+
     private RolloutDecision() {}
 
     /**
@@ -28,11 +34,13 @@
      *
      * @param rollout the rollout
      * @param stage its current stage
+     * @param stageMillis the time since which the stage is known, in milliseconds
      * @param judge the judge with the merged statistics
      * @param nowMillis the current time in milliseconds
      * @return the next stage, or empty if the stage does not change
      */
-    static Optional<RolloutStage> next(Rollout rollout, RolloutStage stage, RolloutJudge judge, long nowMillis) {
+    static Optional<RolloutStage> next(
+            Rollout rollout, RolloutStage stage, long stageMillis, RolloutJudge judge, long nowMillis) {
         double progress = rollout.progress(nowMillis);
         if (stage.isEnded()) {
             return Optional.empty();
@@ -41,7 +49,7 @@
             return Optional.of(RolloutStage.ROLLED_BACK);
         }
         if (stage == RolloutStage.SHIFTING) {
-            return progress >= COMPLETION ? Optional.of(RolloutStage.COMPLETED) : Optional.empty();
+            return afterShifting(rollout, stageMillis, nowMillis);
         }
         if (progress < EARLIEST_SHIFT) {
             return Optional.empty();
@@ -51,4 +59,13 @@
         }
         return progress < LATEST_SHIFT ? Optional.empty() : Optional.of(RolloutStage.ROLLED_BACK);
     }
+
+    private static Optional<RolloutStage> afterShifting(Rollout rollout, long stageMillis, long nowMillis) {
+        long earliestMillis = stageMillis + MIN_SHIFTING_MILLIS;
+        if (earliestMillis > rollout.deadlineMillis() - COMPLETION_MARGIN_MILLIS) {
+            return Optional.of(RolloutStage.ROLLED_BACK);
+        }
+        boolean isDue = rollout.progress(nowMillis) >= COMPLETION && nowMillis >= earliestMillis;
+        return isDue ? Optional.of(RolloutStage.COMPLETED) : Optional.empty();
+    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutOrders.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutOrders.java
@@ -78,7 +78,10 @@
         log.unreadable("", 0, failure.toString());
     }
 
-    /** Applies an object, unless a later state of it is known. An object that cannot be read changes nothing. */
+    /**
+     * Applies an object, unless a later state of it is known. An object that cannot be read changes only the revision
+     * that later writes expect.
+     */
     void apply(StoredObject object) {
         Stored known = byService.get(object.name());
         if (known != null && object.revision() < known.object().revision()) {
@@ -89,6 +92,9 @@
             if (!order.getLeft().equals(unreadableReasons.put(object.name(), order.getLeft()))) {
                 log.unreadable(object.name(), object.revision(), order.getLeft());
             }
+            if (known != null) {
+                byService.put(object.name(), new Stored(object, known.order()));
+            }
             return;
         }
         unreadableReasons.remove(object.name());
@@ -96,6 +102,15 @@
         table.applyOrder(order.get(), object.revision(), clock.getAsLong());
     }
 
+    /** Records the status that this gateway has written, which cannot be read from an order that became unreadable. */
+    void recordStatus(String service, Optional<RolloutStage> end) {
+        byService.computeIfPresent(service, (name, stored) -> {
+            RolloutOrder order = stored.order();
+            return new Stored(
+                    stored.object(), new RolloutOrder(name, order.target(), order.durationMillis(), true, end));
+        });
+    }
+
     private Either<String, RolloutOrder> decode(StoredObject object) {
         try {
             return object.defect().isPresent() ? Either.left(object.defect().get()) : decoder.decodeRollout(object);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTask.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTask.java
@@ -30,6 +30,15 @@
     /** Time before the deadline by which a status is written in any case, in milliseconds. */
     private static final long STATUS_MARGIN_MILLIS = 1_500;
 
+    /** Time within which all gateways usually learn of a verdict: two reports, the second one of a speaker. */
+    private static final long NOTICE_MILLIS = 500;
+
+    /**
+     * Time from a verdict that came too late to its status, in milliseconds. At the deadline the other gateways have
+     * returned to the old version, so their new requests must have moved away again before it is stopped.
+     */
+    private static final long LATE_STATUS_MILLIS = 5_000;
+
     private static final String PREFIX = "rollout-";
 
     private final RolloutController.Context context;
@@ -55,6 +64,13 @@
         return order.target().equals(rollout.target()) && !isOrderedAgain;
     }
 
+    /** Ends this task, because another one replaces it or the lease is lost. Outstanding replies are ignored. */
+    void cancel() {
+        callNumber++;
+        callPending = false;
+        finished = true;
+    }
+
     private boolean isEnded() {
         return context.table()
                 .stage(order.service())
@@ -68,18 +84,36 @@
             forget(now);
         }
         OptionalLong token = context.fencingToken().get();
-        if (!finished && !callPending && now >= nextCallMillis && token.isPresent()) {
+        if (!finished && !callPending && now >= nextCallMillis && token.isPresent() && isCurrent()) {
             step(token.getAsLong(), now);
         }
     }
 
+    /** Returns whether the table has the rollout that this task works on, and not one to another target. */
+    private boolean isCurrent() {
+        return context.table()
+                .find(order.service())
+                .filter(rollout -> rollout.target().equals(order.target()))
+                .isPresent();
+    }
+
+    /** Returns whether a newer revision of the order is known than the one that was read. */
+    private boolean isOutdated() {
+        long known =
+                context.table().find(order.service()).map(Rollout::revision).orElse(Long.MIN_VALUE);
+        return context.orders()
+                .find(order.service())
+                .filter(stored -> stored.object().revision() >= known)
+                .isEmpty();
+    }
+
     private void step(long token, long now) {
         if (!recordKnown) {
             call(reply -> context.store().read(ObjectKind.DUTIES, recordName(), reply), this::onRecordRead);
             return;
         }
         Optional<RolloutOrders.Stored> stored = context.orders().find(order.service());
-        if (mustReadOrder || stored.isEmpty()) {
+        if (mustReadOrder || stored.isEmpty() || isOutdated()) {
             call(reply -> context.store().read(ObjectKind.ROLLOUTS, order.service(), reply), this::onOrderRead);
             return;
         }
@@ -120,9 +154,7 @@
     private void pursue(RolloutRecord decision, RolloutOrders.Stored stored, long token, long now) {
         if (decision.stage().isEnded()) {
             verdictMillis = verdictMillis.isPresent() ? verdictMillis : OptionalLong.of(now);
-            long latestMillis =
-                    context.table().find(order.service()).orElse(order).deadlineMillis() - STATUS_MARGIN_MILLIS;
-            if (now < Math.min(verdictMillis.getAsLong() + PROPAGATION_MILLIS, latestMillis)) {
+            if (now < statusMillis(decision.stage(), verdictMillis.getAsLong())) {
                 return;
             }
             writeStatus(stored, Optional.of(decision.stage()), token);
@@ -138,6 +170,15 @@
                 .ifPresent(next -> writeRecord(decision.withStage(next, token)));
     }
 
+    private long statusMillis(RolloutStage verdict, long knownMillis) {
+        long deadlineMillis =
+                context.table().find(order.service()).orElse(order).deadlineMillis();
+        if (verdict == RolloutStage.COMPLETED && knownMillis + NOTICE_MILLIS > deadlineMillis) {
+            return knownMillis + LATE_STATUS_MILLIS;
+        }
+        return Math.min(knownMillis + PROPAGATION_MILLIS, deadlineMillis - STATUS_MARGIN_MILLIS);
+    }
+
     private void writeRecord(RolloutRecord record) {
         JsonNode content = record.encode();
         Consumer<StoreReply<StoredObject>> handler = reply -> onRecordWritten(record, reply);
@@ -174,6 +215,9 @@
         } else if (reply.status() == Status.OK && reply.value().isPresent()) {
             context.orders().apply(reply.value().get());
             mustReadOrder = false;
+            if (isOutdated()) {
+                delay();
+            }
         } else {
             delay();
         }
@@ -183,7 +227,9 @@
         boolean isKnown = reply.status() == Status.OK || reply.status() == Status.CONFLICT;
         if (isKnown && reply.value().isPresent()) {
             adopt(reply.value().get());
-            if (reply.status() == Status.OK) {
+            if (reply.status() == Status.CONFLICT) {
+                delay();
+            } else {
                 context.log().written(order, "decision", record.stage().name(), record.fencingToken());
             }
         } else {
@@ -195,7 +241,10 @@
         boolean isKnown = reply.status() == Status.OK || reply.status() == Status.CONFLICT;
         if (isKnown && reply.value().isPresent()) {
             context.orders().apply(reply.value().get());
-            if (reply.status() == Status.OK) {
+            if (reply.status() == Status.CONFLICT) {
+                delay();
+            } else {
+                context.orders().recordStatus(order.service(), end);
                 context.log()
                         .written(order, "status", end.map(RolloutStage::name).orElse("RUNNING"), token);
             }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
@@ -31,7 +31,7 @@
     private final long firstRevision;
     private Rollout rollout;
     private RolloutStage stage;
-    private long endedMillis;
+    private long stageMillis;
     private boolean burst;
     private List<Upstream> plannedTargets = List.of();
     private List<Upstream> canaries = List.of();
@@ -75,7 +75,7 @@
             return false;
         }
         stage = next;
-        endedMillis = nowMillis;
+        stageMillis = nowMillis;
         return true;
     }
 
@@ -166,13 +166,13 @@
     }
 
     Optional<RolloutStage> nextStage(long nowMillis) {
-        return RolloutDecision.next(rollout, stage, judge, nowMillis);
+        return RolloutDecision.next(rollout, stage, stageMillis, judge, nowMillis);
     }
 
     /** Returns the report for peers; empty some time after the end. */
     Optional<RolloutReport> report(Predicate<String> included, long nowMillis) {
         if (stage.isEnded()) {
-            return nowMillis - endedMillis > END_REPORT_MILLIS
+            return nowMillis - stageMillis > END_REPORT_MILLIS
                     ? Optional.empty()
                     : Optional.of(new RolloutReport(rollout, stage, 0, new VersionStatistics()));
         }
