Roll back replaced rollouts, and renew no slack at restarts

Cause: a replaced order left its unjudged version among the old ones; a restarted gateway took the slack again, and requests went to a target whose stage it did not know; an edit before the status, or the report of a peer that had seen it, restarted an ended rollout; sixteen ended rollouts blocked the next; upstreams of a new version were no fallback while held back. Change: the replaced rollout is rolled back first; no slack for a rollout that was already running, less if more gateways appear, and nothing to its target until its stage is confirmed; restarts need a later order; ended rollouts make room and their reports are cleared; held back upstreams are the fallback.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/CanaryLimiter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/CanaryLimiter.java
@@ -17,7 +17,9 @@
     private static final double MIN_ELAPSED_PART = 0.1;
 
     private final double share;
-    private final double slack;
+    private final double totalSlack;
+    private int gatewayCount;
+    private double slack;
     private long requests;
     private long targetRequests;
 
@@ -26,10 +28,21 @@
      *
      * @param bounds the limits for all gateways together
      * @param gatewayCount the number of gateways that share the slack
+     * @param hasSlack whether this process knows all of its requests since the order; an earlier process of this
+     *     gateway may have used the slack otherwise
      */
-    CanaryLimiter(RolloutBounds bounds, int gatewayCount) {
+    CanaryLimiter(RolloutBounds bounds, int gatewayCount, boolean hasSlack) {
         this.share = USED_PART * bounds.exposeShare();
-        this.slack = Math.floor(USED_SLACK * bounds.exposeSlack() / Math.max(1, gatewayCount));
+        this.totalSlack = hasSlack ? USED_SLACK * bounds.exposeSlack() : 0;
+        raiseGatewayCount(Math.max(1, gatewayCount));
+    }
+
+    /** Lowers the slack if more gateways share it than was known. */
+    void raiseGatewayCount(int knownCount) {
+        if (knownCount > gatewayCount) {
+            gatewayCount = knownCount;
+            slack = Math.floor(totalSlack / gatewayCount);
+        }
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutJudge.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutJudge.java
@@ -83,6 +83,11 @@
         bad = true;
     }
 
+    /** Forgets the totals of the reporters after the end of the rollout. The figures for logs and metrics remain. */
+    void forgetReports() {
+        seenByReporter.clear();
+    }
+
     /**
      * Returns the strength of the evidence against the version.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutLog.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutLog.java
@@ -33,6 +33,11 @@
         log.add(figures(rollout(log.line("rollout-stopped"), rollout), judge));
     }
 
+    @Override
+    public void onDropped(Rollout rollout) {
+        log.add(rollout(log.line("rollout-dropped"), rollout).put("reason", "too many services with a rollout"));
+    }
+
     /** Returns why a rollout was rolled back, according to what this gateway knows. */
     private static String reason(RolloutJudge judge) {
         if (judge.isBad()) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTable.java
@@ -1,10 +1,13 @@
 package org.lovagethread.gateway.rollout;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
@@ -23,6 +26,15 @@
     /** Maximum number of services with a rollout, which bounds the messages to peers. */
     private static final int MAX_ROLLOUTS = 16;
 
+    /** Maximum number of services for which a line is logged because their order is not carried out. */
+    private static final int MAX_DROPPED = 256;
+
+    /** Part of the duration after which a gateway that learns of a rollout may have been restarted during it. */
+    private static final double MAX_SLACK_PROGRESS = 0.15;
+
+    /** Maximum difference between the estimates of one deadline at two gateways, in milliseconds. */
+    private static final long MAX_DEADLINE_ERROR_MILLIS = 250;
+
     /** Time on the network to another zone and back; canaries may be further away than most old upstreams. */
     private static final long ZONE_ROUND_TRIP_MILLIS = 3;
 
@@ -36,6 +48,7 @@
     private final Observer observer;
     private final Map<String, ServiceRollout> byService = new TreeMap<>();
     private final Map<String, ServiceVersions> versionsByService = new HashMap<>();
+    private final Set<String> droppedServices = new HashSet<>();
     private int gatewayCount = 1;
     private long nextEvaluationMillis = Long.MIN_VALUE;
 
@@ -57,6 +70,13 @@
          * @param judge the judge of the rollout
          */
         void onStopped(Rollout rollout, RolloutJudge judge);
+
+        /**
+         * Handles an order that is not carried out, because too many other services have a running rollout.
+         *
+         * @param rollout the rollout
+         */
+        void onDropped(Rollout rollout);
     }
 
     /**
@@ -110,7 +130,13 @@
         List<Upstream> remaining = versions.withoutLosing(available);
         ServiceRollout current = byService.get(service);
         if (current == null || current.stage().isEnded()) {
-            return new Candidates(versions.withoutNew(remaining, nowMillis), List.of());
+            List<Upstream> preferred = versions.withoutNew(remaining, nowMillis);
+            List<Upstream> heldBack = preferred.size() == remaining.size()
+                    ? List.of()
+                    : remaining.stream()
+                            .filter(upstream -> !preferred.contains(upstream))
+                            .toList();
+            return new Candidates(preferred, heldBack);
         }
         List<Upstream> old = new ArrayList<>();
         List<Upstream> targets = new ArrayList<>();
@@ -160,8 +186,8 @@
         Rollout rollout = new Rollout(
                 order.service(), order.target(), revision, order.durationMillis(), nowMillis + order.durationMillis());
         ServiceRollout known = byService.get(order.service());
-        if (known == null || startsAnother(known, rollout, order.end().isPresent())) {
-            start(rollout, order.end().orElse(RolloutStage.CANARY), nowMillis);
+        if (known == null || startsAnother(known, rollout, isTakenUp(order))) {
+            start(rollout, order.end().orElse(RolloutStage.CANARY), !order.isRunning(), nowMillis);
         } else if (known.rollout().target().equals(order.target())) {
             known.merge(revision, known.rollout().deadlineMillis());
             order.end().ifPresent(end -> advance(order.service(), end, nowMillis));
@@ -191,14 +217,15 @@
         if (bounds.isEmpty()) {
             return;
         }
-        if (known == null || startsAnother(known, rollout, report.stage().isEnded())) {
-            start(rollout, report.stage(), nowMillis);
+        if (known == null || startsAnother(known, rollout, !isLaterOrder(known, report, nowMillis))) {
+            start(rollout, report.stage(), true, nowMillis);
             known = byService.get(rollout.service());
         }
         if (known == null || !known.rollout().target().equals(rollout.target()) || !known.isAsNew(rollout)) {
             return;
         }
         known.merge(rollout.revision(), rollout.deadlineMillis());
+        known.confirm();
         known.recordReport(reporter, report.stoppedGateways(), report.statistics());
         if (known.stage().mayBecome(report.stage())) {
             advance(rollout.service(), report.stage(), nowMillis);
@@ -223,14 +250,17 @@
     }
 
     /**
-     * Merges what the store says about an order into the known rollout.
+     * Merges what the stored decision says about an order into the known rollout.
      *
      * @param service the name of the service
      * @param revision the revision of its object
      * @param deadlineMillis its deadline in milliseconds
      */
     public void merge(String service, long revision, long deadlineMillis) {
-        Optional.ofNullable(byService.get(service)).ifPresent(current -> current.merge(revision, deadlineMillis));
+        Optional.ofNullable(byService.get(service)).ifPresent(current -> {
+            current.merge(revision, deadlineMillis);
+            current.confirm();
+        });
     }
 
     /**
@@ -246,6 +276,7 @@
         }
         nextEvaluationMillis = nowMillis + EVALUATION_INTERVAL_MILLIS;
         for (ServiceRollout current : byService.values()) {
+            current.limiter().raiseGatewayCount(gatewayCount);
             if (current.evaluate(self, gatewayCount, nowMillis)) {
                 observer.onStopped(current.rollout(), current.judge());
             }
@@ -331,26 +362,62 @@
     }
 
     /** Returns whether an order is not the known one: another target, or the same one again after the end. */
-    private static boolean startsAnother(ServiceRollout known, Rollout rollout, boolean hasEnded) {
+    private static boolean startsAnother(ServiceRollout known, Rollout rollout, boolean isTakenUp) {
         boolean isNewer = rollout.revision() > known.rollout().revision();
         boolean isSameTarget = known.rollout().target().equals(rollout.target());
-        return isNewer && (!isSameTarget || (known.stage().isEnded() && !hasEnded));
+        return isNewer && (!isSameTarget || (known.stage().isEnded() && !isTakenUp));
     }
 
-    private void start(Rollout rollout, RolloutStage stage, long nowMillis) {
-        if (bounds.isEmpty() || (byService.size() >= MAX_ROLLOUTS && !byService.containsKey(rollout.service()))) {
+    /** Returns whether an order was taken up earlier. Its object may be edited between the verdict and its status. */
+    private static boolean isTakenUp(RolloutOrder order) {
+        return order.isRunning() || order.end().isPresent();
+    }
+
+    /** Returns whether a report is about an order that was written later than the known one, not an edit of it. */
+    private static boolean isLaterOrder(ServiceRollout known, RolloutReport report, long nowMillis) {
+        long deadlineMillis = report.rollout().deadlineMillis();
+        return !report.stage().isEnded()
+                && deadlineMillis > nowMillis
+                && deadlineMillis > known.rollout().deadlineMillis() + MAX_DEADLINE_ERROR_MILLIS;
+    }
+
+    private void start(Rollout rollout, RolloutStage stage, boolean isConfirmed, long nowMillis) {
+        if (bounds.isEmpty() || !hasRoom(rollout, stage)) {
             return;
         }
-        ServiceVersions versions = versions(rollout.service());
-        versions.onOrdered(rollout.target());
-        CanaryLimiter limiter = new CanaryLimiter(bounds.get(), gatewayCount);
+        // The version of a replaced order was not judged, so it must not count as an old one.
+        advance(rollout.service(), RolloutStage.ROLLED_BACK, nowMillis);
+        versions(rollout.service()).onOrdered(rollout.target());
+        boolean hasSlack =
+                isConfirmed && stage == RolloutStage.CANARY && rollout.progress(nowMillis) <= MAX_SLACK_PROGRESS;
+        CanaryLimiter limiter = new CanaryLimiter(bounds.get(), gatewayCount, hasSlack);
         RolloutStage first = stage.isEnded() ? RolloutStage.CANARY : stage;
-        ServiceRollout started = new ServiceRollout(rollout, first, limiter, random);
+        ServiceRollout started = new ServiceRollout(rollout, first, isConfirmed, limiter, random, nowMillis);
         byService.put(rollout.service(), started);
         observer.onStage(rollout, first, started.judge());
         advance(rollout.service(), stage, nowMillis);
     }
 
+    /** Makes room for a rollout by removing the one that ended first; returns false if none has ended. */
+    private boolean hasRoom(Rollout rollout, RolloutStage stage) {
+        if (byService.size() < MAX_ROLLOUTS || byService.containsKey(rollout.service())) {
+            return true;
+        }
+        if (stage.isEnded()) {
+            versions(rollout.service()).onEnded(rollout.target(), stage);
+            return false;
+        }
+        Optional<ServiceRollout> oldest = byService.values().stream()
+                .filter(known -> known.stage().isEnded())
+                .min(Comparator.comparingLong(ServiceRollout::stageMillis));
+        if (oldest.isPresent()) {
+            byService.remove(oldest.get().rollout().service());
+        } else if (droppedServices.size() < MAX_DROPPED && droppedServices.add(rollout.service())) {
+            observer.onDropped(rollout);
+        }
+        return oldest.isPresent();
+    }
+
     private ServiceVersions versions(String service) {
         return versionsByService.computeIfAbsent(service, name -> new ServiceVersions());
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
@@ -33,10 +33,24 @@
     private RolloutStage stage;
     private long stageMillis;
     private boolean burst;
+    private boolean confirmed;
     private List<Upstream> plannedTargets = List.of();
     private List<Upstream> canaries = List.of();
 
-    ServiceRollout(Rollout rollout, RolloutStage stage, CanaryLimiter limiter, DoubleSupplier random) {
+    /**
+     * Creates a rollout.
+     *
+     * @param confirmed whether the stage is known; false if the rollout was already running when the order was read
+     */
+    ServiceRollout(
+            Rollout rollout,
+            RolloutStage stage,
+            boolean confirmed,
+            CanaryLimiter limiter,
+            DoubleSupplier random,
+            long nowMillis) {
+        this.confirmed = confirmed;
+        this.stageMillis = nowMillis;
         this.rollout = rollout;
         this.stage = stage;
         this.limiter = limiter;
@@ -69,6 +83,16 @@
         rollout = rollout.merge(revision, deadlineMillis);
     }
 
+    /** Records that a peer or the stored decision states the stage of this rollout. */
+    void confirm() {
+        confirmed = true;
+    }
+
+    /** Returns the time since which the stage is known, in milliseconds. */
+    long stageMillis() {
+        return stageMillis;
+    }
+
     /** Enters a stage; returns false if this is not possible from the current one. */
     boolean advance(RolloutStage next, long nowMillis) {
         if (!stage.mayBecome(next)) {
@@ -76,6 +100,11 @@
         }
         stage = next;
         stageMillis = nowMillis;
+        if (next.isEnded()) {
+            reports.clear();
+            stoppedByReporter.clear();
+            judge.forgetReports();
+        }
         return true;
     }
 
@@ -84,7 +113,7 @@
         if (stage.isEnded()) {
             return stage == RolloutStage.COMPLETED;
         }
-        return !judge.isBad() && nowMillis < rollout.deadlineMillis();
+        return confirmed && !judge.isBad() && nowMillis < rollout.deadlineMillis();
     }
 
     /** Returns the candidates for a request if both versions have upstreams. */
@@ -133,6 +162,9 @@
 
     /** Raises the totals that a peer reported, and the number of gateways that have found the version bad. */
     void recordReport(String reporter, int stoppedGateways, VersionStatistics statistics) {
+        if (stage.isEnded()) {
+            return;
+        }
         stoppedByReporter.merge(reporter, stoppedGateways, Math::max);
         VersionStatistics totals = reports.computeIfAbsent(reporter, name -> new VersionStatistics());
         statistics.countsByRoute().forEach((route, groups) -> {
@@ -169,13 +201,16 @@
         return RolloutDecision.next(rollout, stage, stageMillis, judge, nowMillis);
     }
 
-    /** Returns the report for peers; empty some time after the end. */
+    /** Returns the report for peers; empty some time after the end, or while the stage is not known. */
     Optional<RolloutReport> report(Predicate<String> included, long nowMillis) {
         if (stage.isEnded()) {
             return nowMillis - stageMillis > END_REPORT_MILLIS
                     ? Optional.empty()
                     : Optional.of(new RolloutReport(rollout, stage, 0, new VersionStatistics()));
         }
+        if (!confirmed) {
+            return Optional.empty();
+        }
         VersionStatistics totals = new VersionStatistics();
         totals.add(local);
         reports.forEach((reporter, statistics) -> {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutEmulation.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutEmulation.java
@@ -79,6 +79,9 @@
 
             @Override
             public void onStopped(Rollout rollout, RolloutJudge judge) {}
+
+            @Override
+            public void onDropped(Rollout rollout) {}
         };
         for (int i = 0; i < GATEWAYS; i++) {
             tables.add(new RolloutTable(
