Reduce calls to the platform: longer watches for rollouts, fewer moves of instances

Change: a watch for rollouts waits up to 20 s, since gateways also report the orders that they know; instances follow shifts of a fifth, and not while the demand of a zone is unknown.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/ZoneDemand.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/ZoneDemand.java
@@ -13,11 +13,11 @@
     /** Weight of the latest sample in the smoothed demand, at ten samples per second. */
     private static final double SAMPLE_WEIGHT = 0.02;
 
-    /** Change of a zone's share from which new shares are used. */
-    private static final double SUBSTANTIAL_CHANGE = 0.1;
-
-    /** Demand in tokens per second below which the shares are unknown. */
-    private static final double MIN_TOKENS_PER_SECOND = 1;
+    /**
+     * Change of a zone's share from which new shares are used. Each change moves instances, which takes an order for each
+     * zone and the time of their start.
+     */
+    private static final double SUBSTANTIAL_CHANGE = 0.2;
 
     private final Map<String, Map<String, Double>> smoothedDemand = new HashMap<>();
     private final Map<String, Map<String, Double>> shares = new HashMap<>();
@@ -29,40 +29,40 @@
     }
 
     /**
-     * Returns the share of each zone in the demand of a service.
+     * Returns the share of each zone in the demand of a service. The shares change neither while the demand of a zone is
+     * unknown, for instance because its reports do not arrive, nor because of small changes.
      *
      * @param service the service
      * @param zones the zones in which the service may run; demand in others is ignored
-     * @return the shares by zone; empty if the demand is unknown
+     * @return the shares by zone; empty for even shares
      */
     Map<String, Double> update(String service, Collection<String> zones) {
         Map<String, Double> latest = source.apply(service);
+        Map<String, Double> kept = shares.getOrDefault(service, Map.of());
+        if (zones.stream().anyMatch(zone -> latest.getOrDefault(zone, 0.0) <= 0)) {
+            return kept;
+        }
         Map<String, Double> smoothed = smoothedDemand.computeIfAbsent(service, name -> new HashMap<>());
         double sum = 0;
         for (String zone : zones) {
-            double sample = latest.getOrDefault(zone, 0.0);
-            sum += smoothed.merge(zone, sample, (old, added) -> old + SAMPLE_WEIGHT * (added - old));
+            sum += smoothed.merge(zone, latest.get(zone), (old, added) -> old + SAMPLE_WEIGHT * (added - old));
         }
-        if (sum < MIN_TOKENS_PER_SECOND) {
-            shares.remove(service);
-            return Map.of();
+        if (!isSubstantiallyDifferent(kept, smoothed, sum)) {
+            return kept;
         }
-        Map<String, Double> kept = shares.get(service);
-        if (kept == null || isSubstantiallyDifferent(kept, smoothed, sum)) {
-            Map<String, Double> updated = new HashMap<>();
-            for (String zone : zones) {
-                updated.put(zone, smoothed.get(zone) / sum);
-            }
-            shares.put(service, updated);
-            return updated;
+        Map<String, Double> updated = new HashMap<>();
+        for (String zone : zones) {
+            updated.put(zone, smoothed.get(zone) / sum);
         }
-        return kept;
+        shares.put(service, updated);
+        return updated;
     }
 
     private static boolean isSubstantiallyDifferent(
             Map<String, Double> kept, Map<String, Double> smoothed, double sum) {
+        double even = 1.0 / smoothed.size();
         return smoothed.entrySet().stream()
                 .anyMatch(zone ->
-                        Math.abs(zone.getValue() / sum - kept.getOrDefault(zone.getKey(), 0.0)) > SUBSTANTIAL_CHANGE);
+                        Math.abs(zone.getValue() / sum - kept.getOrDefault(zone.getKey(), even)) > SUBSTANTIAL_CHANGE);
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
@@ -24,6 +24,12 @@
 
     private static final double PER_CENT = 100;
 
+    /**
+     * Maximum wait of one call of the watch, in milliseconds. It may be long although the connection may go silent,
+     * because other gateways watch as well and report the orders that they know.
+     */
+    private static final long MAX_WAIT_MILLIS = 20_000;
+
     private final Gateway gateway;
     private final boolean enabled;
     private final RolloutTable table;
@@ -59,8 +65,7 @@
         this.watcher = new KindWatcher(
                 gateway.ports().store(),
                 ObjectKind.ROLLOUTS,
-                new KindWatcher.Timing(
-                        gateway.settings().bounds().silenceTimeouts().maxQuietMillis(), 0, MAX_RETRY_DELAY_MILLIS),
+                new KindWatcher.Timing(MAX_WAIT_MILLIS, 0, MAX_RETRY_DELAY_MILLIS),
                 gateway,
                 orders);
     }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/ZoneDemandTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/ZoneDemandTest.java
@@ -39,4 +39,13 @@
         latest.put("a", 15_000.0);
         assertThat(update(300).get("a")).isCloseTo(0.75, within(0.1));
     }
+
+    /** Guards against instances that leave a zone because its reports do not arrive. */
+    @Test
+    void keepsSharesWhileDemandOfZoneIsUnknown() {
+        latest.putAll(Map.of("a", 15_000.0, "b", 5_000.0));
+        Map<String, Double> known = update(300);
+        latest.remove("b");
+        assertThat(update(300)).isEqualTo(known).isNotEmpty();
+    }
 }
