Divide scarce capacity fairly between customers

Under contention capacity went to whoever came first: Admission knows only the rank of a route, and 70 gateways admitted to the same few free slots, as reports of peers are 0.25 to 0.7 s old. With one customer at 20 times its usual rate, over half of the requests of all others were refused.

While first events are late because of waiting, the work that all gateways served in the last seconds is now divided by rank, then by max-min fairness between customers. Each gateway admits the same share of the requests of a limited customer. Demand and served work are reported as totals in field 26 of GatewayState and 21 of CellState, at most 48 entries per service.

A queue at the gateways was not built.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
@@ -13,12 +13,14 @@
     private final ServiceSpec service;
     private final PromptPrefix prefix;
     private final Placement.Demand demand;
+    private final CustomerShare customerShare;
 
     AttemptRecorder(ExchangeContext context, AdmittedRequest admitted, Placement.Demand demand) {
         this.context = context;
         this.service = admitted.service();
         this.prefix = admitted.attributes().prefix();
         this.demand = demand;
+        this.customerShare = new CustomerShare(context, admitted, demand);
     }
 
     /** Records that a request is about to be sent to the upstream of an attempt. */
@@ -42,6 +44,7 @@
         attempt.upstream.load().recordFirstEvent(attempt.choice.unreadTokens());
         long millis = nowMillis - attempt.sentMillis;
         attempt.upstream.recordResponseTime((double) millis);
+        customerShare.recordFirstEvent(attempt.choice, millis, nowMillis);
         if (service.engine().isPresent() && !attempt.choice.waitsForCapacity()) {
             EngineModel model = context.engineModels().of(service.name());
             attempt.upstream.recordDeviation(model.recordFirstEvent(attempt.choice.queuedTokens(), millis));
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -150,6 +150,12 @@
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), cell, gateway.engineModels(), nowMillis);
         gateway.promptQuarantine()
                 .updatePeer(cell, PromptEvidenceCodec.decode(state.getCrashEvidence(), nowMillis), nowMillis);
+        WorkReportCodec.applyPeer(
+                state.getUnknownFields(),
+                WorkReportCodec.CELL_FIELD,
+                CELL_PREFIX + state.getSpeaker(),
+                gateway.fairAdmission(),
+                nowMillis);
         state.getCustomersList().forEach(use -> gateway.quota()
                 .update(CELL_PREFIX + state.getSpeaker(), use.getCustomer(), use.getTokens(), nowMillis));
     }
@@ -233,6 +239,10 @@
                 .totalsExcept(CELL_PREFIX)
                 .forEach((customer, tokens) -> state.addCustomers(
                         CustomerUse.newBuilder().setCustomer(customer).setTokens(tokens)));
+        state.mergeUnknownFields(WorkReportCodec.encode(
+                gateway.fairAdmission(),
+                WorkReportCodec.CELL_FIELD,
+                ledger -> ledger.totalsExcept(CELL_PREFIX, nowMillis)));
         if (includesUsageCounts()) {
             addUsageCounts(state);
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -5,6 +5,7 @@
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.policy.Admission;
+import org.lovagethread.gateway.policy.FairAdmission;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
@@ -31,6 +32,9 @@
     /** Returns the policy that refuses requests under overload. */
     Admission admission();
 
+    /** Returns the policy that divides scarce capacity between customers. */
+    FairAdmission fairAdmission();
+
     /** Returns the retry budget. */
     RetryBudget retryBudget();
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -34,6 +34,7 @@
 import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.policy.AddressPolicy;
 import org.lovagethread.gateway.policy.Admission;
+import org.lovagethread.gateway.policy.FairAdmission;
 import org.lovagethread.gateway.policy.LagDetector;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptQuarantine;
@@ -68,6 +69,7 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final EngineModels engineModels = new EngineModels();
     private final Admission admission = new Admission();
+    private final FairAdmission fairAdmission = new FairAdmission(Math::random);
     private final PromptQuarantine promptQuarantine = new PromptQuarantine();
     private final TokenQuota quota;
     private final ClusterClock clock = new ClusterClock();
@@ -248,6 +250,7 @@
         if (ticks % 25 == 0) {
             upstreamClient.tick(nowMillis);
             quota.expire(nowMillis);
+            fairAdmission.expire(nowMillis);
             for (String id : upstreams.expire(
                     sync.storeHealth().isReachable(), sync.storeHealth().recoveredMillis(), nowMillis)) {
                 log.add(log.line("upstream-gone").put("upstream", id));
@@ -292,6 +295,9 @@
         metrics.setState(
                 "configuration_version",
                 configuration().map(GatewayConfiguration::version).orElse(-1L));
+        metrics.setState("contended_services", fairAdmission.contendedServices(nowMillis()));
+        metrics.setState("malformed_work_reports", fairAdmission.malformedReports());
+        metrics.setState("unfair_requests_refused", fairAdmission.refusals());
         metrics.setState("gateways_live", peers.livePeers(nowMillis()).size() + 1);
         metrics.setState("holds_lease", lease.isHeld() ? 1 : 0);
         metrics.setState("log_lines_dropped", log.droppedLines());
@@ -498,6 +504,11 @@
         return admission;
     }
 
+    @Override
+    public FairAdmission fairAdmission() {
+        return fairAdmission;
+    }
+
     @Override
     public RetryBudget retryBudget() {
         return retryBudget;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -221,6 +221,8 @@
                 .totals()
                 .forEach((customer, tokens) -> state.addCustomers(
                         CustomerUse.newBuilder().setCustomer(customer).setTokens(tokens)));
+        state.mergeUnknownFields(WorkReportCodec.encode(
+                gateway.fairAdmission(), WorkReportCodec.GATEWAY_FIELD, ledger -> ledger.localTotals(nowMillis)));
         if (nowMillis >= nextCountsMillis) {
             nextCountsMillis = nowMillis + COUNTS_INTERVAL_MILLIS;
             addUsageCounts(state, nowMillis);
@@ -278,6 +280,8 @@
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), state.getNode(), gateway.upstreams(), now);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), process, gateway.engineModels(), now);
         gateway.promptQuarantine().updatePeer(process, PromptEvidenceCodec.decode(state.getCrashEvidence(), now), now);
+        WorkReportCodec.applyPeer(
+                state.getUnknownFields(), WorkReportCodec.GATEWAY_FIELD, process, gateway.fairAdmission(), now);
         state.getCustomersList()
                 .forEach(use -> gateway.quota().update(process, use.getCustomer(), use.getTokens(), now));
         state.getWindowsList().forEach(count -> gateway.usage()
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
@@ -12,6 +12,7 @@
     private final ExchangeContext context;
     private final AdmittedRequest admitted;
     private final Placement.Demand demand;
+    private final CustomerShare customerShare;
 
     /** Result of a selection. */
     sealed interface Selection {}
@@ -29,6 +30,7 @@
         this.context = context;
         this.admitted = admitted;
         this.demand = demand;
+        this.customerShare = new CustomerShare(context, admitted, demand);
     }
 
     /**
@@ -55,10 +57,15 @@
             return new Unavailable();
         }
         Admission.Candidate candidate = new Admission.Candidate(route, admitted.targetMillis(), remainingMillis);
-        if (isFirstAttempt && !context.admission().admits(candidate, choice.get())) {
+        if (isFirstAttempt && !admits(candidate, choice.get(), nowMillis)) {
             return new Refuse(
                     choice.get(), context.retryAfterMillis(service.name(), candidate, choice.get(), nowMillis));
         }
         return new Send(choice.get());
     }
+
+    private boolean admits(Admission.Candidate candidate, Placement.Choice choice, long nowMillis) {
+        customerShare.recordDemand(choice, nowMillis);
+        return context.admission().admits(candidate, choice) && customerShare.admits(nowMillis);
+    }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -27,6 +27,7 @@
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.policy.Admission;
+import org.lovagethread.gateway.policy.FairAdmission;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
 import org.lovagethread.gateway.policy.PromptQuarantine;
@@ -57,6 +58,7 @@
     Optional<RuntimeException> sendFailure = Optional.empty();
     ExchangeRecord record;
     private final EngineModels engineModels = new EngineModels();
+    private final FairAdmission fairAdmission = new FairAdmission(() -> 0);
     private final TokenQuota quota = new TokenQuota(0, 0);
     private final Placement placement = new Placement(new ZoneTopology("a", Map.of("a", "north")), engineModels);
 
@@ -264,6 +266,11 @@
         return new Admission();
     }
 
+    @Override
+    public FairAdmission fairAdmission() {
+        return fairAdmission;
+    }
+
     @Override
     public RetryBudget retryBudget() {
         return retryBudget;
