--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetDemand.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetDemand.java
@@ -6,6 +6,7 @@
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.config.ServiceSpec.EngineSpec;
+import org.lovagethread.gateway.config.ServiceSpec.FleetSpec;
 import org.lovagethread.gateway.engine.EngineEstimate;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.log.LogLine;
@@ -14,9 +15,10 @@
 import org.lovagethread.gateway.policy.SlidingMaximum;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad.Work;
+import org.lovagethread.gateway.upstream.UpstreamSpeed;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
-/** Measures the load of services and derives how many instances they need. */
+/** Measures the load of services and derives how many instances of the mean speed of the running ones they need. */
 final class FleetDemand {
     /** Length of the sliding window whose maximum need reclaimable instances are kept for, in milliseconds. */
     private static final long NEED_WINDOW_MILLIS = 12_000;
@@ -52,7 +54,7 @@
      * @param needed the number of instances if reclaimable ones are available
      * @param minNeeded the number of instances in any case
      * @param load the load from which the need was derived
-     * @param estimate the estimated performance of the engines
+     * @param estimate the estimated performance of an engine of mean speed
      */
     record Need(int needed, int minNeeded, Load load, EngineEstimate estimate) {
         /** Adds what the need was derived from to a log line. */
@@ -87,7 +89,8 @@
     /** Records the instances that run before any order. */
     void recordInitialInstances(ServiceSpec service) {
         History history = history(service);
-        history.initialInstances = Math.max(history.initialInstances, running(service));
+        history.initialInstances = Math.max(
+                history.initialInstances, upstreams.available(service.name()).size());
     }
 
     /**
@@ -102,7 +105,8 @@
     Need measure(GatewayConfiguration configuration, ServiceSpec service, double tokensPerSecond, long nowMillis) {
         History history = history(service);
         EngineSpec engine = service.engine().orElseThrow();
-        EngineEstimate estimate = models.of(service.name()).estimate(nowMillis);
+        double meanSpeed = UpstreamSpeed.mean(upstreams.available(service.name()), nowMillis);
+        EngineEstimate estimate = models.of(service.name()).estimate(nowMillis).atSpeed(meanSpeed);
         double targetMillis =
                 configuration.routes().latencyTargets().shortest(service.name()).orElse(DEFAULT_TARGET_MILLIS);
         Load load = measureLoad(service, history, tokensPerSecond, nowMillis);
@@ -117,9 +121,10 @@
             minNeeded = needed;
         }
         int floor = planner.minInstances(history.initialInstances);
+        int paused = paused(service, nowMillis);
         return new Need(
-                history.needed.add(Math.max(floor, needed), nowMillis),
-                history.minNeeded.add(Math.max(floor, minNeeded), nowMillis),
+                history.needed.add(Math.max(floor, needed + paused), nowMillis),
+                history.minNeeded.add(Math.max(floor, minNeeded + paused), nowMillis),
                 load,
                 estimate);
     }
@@ -128,8 +133,12 @@
         return histories.computeIfAbsent(service.name(), name -> new History());
     }
 
-    private int running(ServiceSpec service) {
-        return upstreams.available(service.name()).size();
+    /** Returns the number of instances that are paused for longer than others need to start. */
+    private int paused(ServiceSpec service, long nowMillis) {
+        long startMillis = service.fleet().map(FleetSpec::bootMillis).orElse(0L);
+        return (int) upstreams.available(service.name()).stream()
+                .filter(upstream -> upstreams.pauses().isPausedFor(upstream.entry(), startMillis, nowMillis))
+                .count();
     }
 
     private Load measureLoad(ServiceSpec service, History history, double tokensPerSecond, long nowMillis) {
@@ -141,7 +150,11 @@
             unreadTokens += work.unreadTokens();
         }
         history.smoothedUnreadTokens += UNREAD_SMOOTHING * (unreadTokens - history.smoothedUnreadTokens);
-        return new Load(generating, tokensPerSecond, history.smoothedUnreadTokens, running(service));
+        return new Load(
+                generating,
+                tokensPerSecond,
+                history.smoothedUnreadTokens,
+                upstreams.unpaused(service.name(), nowMillis).size());
     }
 
     private static double quotaTokensPerSecond(GatewayConfiguration configuration) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.lovagethread.gateway.config.GatewayConfiguration;
@@ -20,6 +21,7 @@
 import org.lovagethread.gateway.policy.FleetPlanner.ZoneFleet;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.gateway.upstream.UpstreamSpeed;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
 /** Orders instances of services while this gateway holds the lease. */
@@ -40,6 +42,8 @@
     private final UpstreamTable upstreams;
     private final FleetPlanner planner = new FleetPlanner();
     private final FleetDemand demand;
+    private final ZoneDemand zoneDemand = new ZoneDemand();
+    private final Map<String, Map<String, Double>> zoneShares = new HashMap<>();
     private final LongSupplier monotonicClock;
     private final Supplier<OptionalLong> fencingToken;
     private final EventLog log;
@@ -94,6 +98,15 @@
         this.log = log;
     }
 
+    /**
+     * Distributes instances over zones by the demand of the zones instead of evenly.
+     *
+     * @param demandByZone provides the demand of a service by availability zone, in tokens per second; empty if unknown
+     */
+    public void followDemand(Function<String, Map<String, Double>> demandByZone) {
+        zoneDemand.source(demandByZone);
+    }
+
     /**
      * Sends the orders that are due.
      *
@@ -120,6 +133,11 @@
         if (nowMillis < DISCOVERY_MILLIS) {
             demand.recordInitialInstances(service);
         }
+        zoneShares.put(
+                service.name(),
+                zoneDemand.update(
+                        service.name(),
+                        service.fleet().orElseThrow().zonePrices().keySet()));
         FleetDemand.Need need = demand.measure(configuration, service, tokensPerSecond, nowMillis);
         if (fencingToken.get().isEmpty() || nowMillis < DISCOVERY_MILLIS) {
             return;
@@ -128,13 +146,14 @@
             log.add(need.addTo(log.line("fleet-plan").put("service", service.name())));
         }
         // Reclaimable instances are ordered first, so on-demand ones are ordered only for what they will not cover.
-        plan(service, need, runningFleets(service), true).forEach(order -> sendOrder(service, order, nowMillis));
+        plan(service, need, runningFleets(service, nowMillis), true)
+                .forEach(order -> sendOrder(service, order, nowMillis));
         onDemandOrders(service, need, nowMillis).forEach(order -> sendOrder(service, order, nowMillis));
     }
 
     private List<FleetOrder> plan(
             ServiceSpec service, FleetDemand.Need need, List<ZoneFleet> fleets, boolean reclaimable) {
-        return planner.plan(service, fleets, need.needed(), need.minNeeded()).stream()
+        return planner.plan(service, fleets, need.needed(), need.minNeeded(), zoneShares.get(service.name())).stream()
                 .filter(order -> order.reclaimable() == reclaimable)
                 .toList();
     }
@@ -144,7 +163,7 @@
      * starting, but those that run are kept until these have started.
      */
     private List<FleetOrder> onDemandOrders(ServiceSpec service, FleetDemand.Need need, long nowMillis) {
-        List<ZoneFleet> running = runningFleets(service);
+        List<ZoneFleet> running = runningFleets(service, nowMillis);
         List<FleetOrder> orders =
                 new ArrayList<>(plan(service, need, startedFleets(service, running, nowMillis), false));
         for (FleetOrder present : plan(service, need, running, false)) {
@@ -167,19 +186,24 @@
     }
 
     /** Returns the running instances, one entry per zone in which the service may run. */
-    private List<ZoneFleet> runningFleets(ServiceSpec service) {
+    private List<ZoneFleet> runningFleets(ServiceSpec service, long nowMillis) {
         Map<String, ZoneFleet> zones = new TreeMap<>();
         for (String zone : service.fleet().orElseThrow().zonePrices().keySet()) {
             zones.put(zone, new ZoneFleet(zone, 0, 0));
         }
-        for (Upstream upstream : upstreams.available(service.name())) {
+        List<Upstream> running = upstreams.available(service.name());
+        double meanSpeed = UpstreamSpeed.mean(running, nowMillis);
+        for (Upstream upstream : running) {
             UpstreamEntry entry = upstream.entry();
+            int reclaimable = entry.reclaimable() ? 1 : 0;
+            double capacity = upstream.speed().factor(nowMillis) / meanSpeed;
             zones.computeIfPresent(
                     entry.zone(),
                     (zone, fleet) -> new ZoneFleet(
                             zone,
-                            fleet.reclaimable() + (entry.reclaimable() ? 1 : 0),
-                            fleet.onDemand() + (entry.reclaimable() ? 0 : 1)));
+                            fleet.reclaimable() + reclaimable,
+                            fleet.onDemand() + 1 - reclaimable,
+                            fleet.reclaimableCapacity() + reclaimable * capacity));
         }
         return List.copyOf(zones.values());
     }
@@ -190,13 +214,17 @@
         return running.stream()
                 .map(fleet -> reclaimedZones.contains(fleet.zone())
                         ? fleet
-                        : new ZoneFleet(
-                                fleet.zone(),
-                                Math.max(fleet.reclaimable(), starting(service, fleet.zone(), nowMillis)),
-                                fleet.onDemand()))
+                        : withStarting(fleet, starting(service, fleet.zone(), nowMillis)))
                 .toList();
     }
 
+    /** Returns the fleet when an order has been completed; instances that are starting count as of mean speed. */
+    private static ZoneFleet withStarting(ZoneFleet fleet, int ordered) {
+        int starting = Math.max(0, ordered - fleet.reclaimable());
+        return new ZoneFleet(
+                fleet.zone(), fleet.reclaimable() + starting, fleet.onDemand(), fleet.reclaimableCapacity() + starting);
+    }
+
     /** Returns the zones in which reclaimable instances are leaving, so those that start may be lost as well. */
     private Set<String> zonesWithLeavingInstances(ServiceSpec service) {
         Set<String> reclaimed = new HashSet<>();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
@@ -3,10 +3,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.policy.InactivityTimeout;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.rollout.RolloutSample;
+import org.lovagethread.gateway.upstream.StallDetector;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /** An attempt to have the request served by one upstream, and the part of its response received so far. */
@@ -22,6 +26,7 @@
     final EventSplitter eventSplitter = new EventSplitter();
     private final ResponseMemory memory;
     private final Consumer<Attempt> evictionHandler;
+    private final StallDetector.Expectation expectation;
     UpstreamClient.RequestHandle handle;
     HttpResponse response;
     final ByteBuf buffered = Unpooled.buffer(0);
@@ -32,6 +37,9 @@
     boolean responseEnded;
     boolean silenceRecorded;
     long bytesSinceEvent;
+    long receivedBytes;
+    LongConsumer releaseHandler = bytes -> {};
+    Optional<RolloutSample> rolloutSample = Optional.empty();
 
     Attempt(
             Placement.Choice choice,
@@ -48,9 +56,15 @@
         this.upstream = choice.upstream();
         this.memoryTokens = memoryTokens;
         this.sentMillis = nowMillis;
+        this.expectation = upstream.stall().start(choice.predictedLatencyMillis(), nowMillis);
         recordBytes(nowMillis, observedMillis);
     }
 
+    /** Records that the first event has arrived or is no longer expected. */
+    void endExpectation() {
+        upstream.stall().end(expectation);
+    }
+
     void recordBytes(long nowMillis, long observedMillis) {
         lastBytesMillis = nowMillis;
         lastBytesObservedMillis = observedMillis;
@@ -58,6 +72,7 @@
 
     /** Splits the next bytes of a stream into events; returns false if too many have come without a new one. */
     boolean feed(ByteBuf bytes, EventSplitter.EventConsumer consumer) {
+        receivedBytes += bytes.readableBytes();
         bytesSinceEvent += bytes.readableBytes();
         eventSplitter.feed(bytes, consumer);
         return bytesSinceEvent <= EventSplitter.MAX_EVENT_BYTES;
@@ -65,6 +80,7 @@
 
     /** Appends the next bytes of a response that is not a stream; returns false if it is too large. */
     boolean buffer(ByteBuf bytes) {
+        receivedBytes += bytes.readableBytes();
         boolean fits = buffered.readableBytes() + bytes.readableBytes() <= MAX_BUFFERED_BYTES;
         if (fits) {
             buffered.writeBytes(bytes);
@@ -98,6 +114,8 @@
     /** Releases the load of the attempt and cancels it unless its response is complete. */
     void release() {
         memory.release(this);
+        releaseHandler.accept(receivedBytes);
+        endExpectation();
         upstream.load().recordEnd(firstEventReceived, choice.unreadTokens(), memoryTokens);
         if (!responseEnded && handle != null) {
             handle.cancel();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -12,6 +12,7 @@
 import org.lovagethread.gateway.peer.PeerTable.GatewayInstance;
 import org.lovagethread.gateway.peer.PeerTable.Peer;
 import org.lovagethread.gateway.policy.AddressPolicy.GatewayAddress;
+import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.upstream.LeavingMark;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
@@ -30,7 +31,7 @@
  */
 final class CellExchange {
     /** Prefix of the peer names that represent cells, which keeps them distinct from the names of gateways. */
-    static final String CELL_PREFIX = "cell:";
+    static final String CELL_PREFIX = TokenQuota.CELL_PREFIX;
 
     /** Interval between two summaries, in milliseconds. */
     private static final long SEND_INTERVAL_MILLIS = 250;
@@ -38,8 +39,12 @@
     /** Number of summaries of which one contains the usage counts. */
     private static final int SUMMARIES_PER_USAGE_COUNT = 4;
 
+    /** Number of summaries of which one contains the statistics of rollouts. */
+    private static final int SUMMARIES_PER_ROLLOUT_STATISTICS = 2;
+
     private final Gateway gateway;
     private final CellTable cells;
+    private final UpstreamSpeedCodec speedCodec = new UpstreamSpeedCodec();
     private final Map<String, Integer> contactAttempts = new HashMap<>();
     private long nextSendMillis;
     private long sequence;
@@ -143,11 +148,19 @@
 
     private void apply(CellState state, long nowMillis) {
         String cell = CELL_PREFIX + state.getZone();
+        gateway.zoneTraffic().apply(state, nowMillis);
+        gateway.rolloutService().applyCell(cell, state.getMembers(), state.getUnknownFields(), nowMillis);
         LeavingMarkCodec.applyPeer(
                 state.getLeavingUpstreamsList(), state.getLeavingRemainingMillisList(), gateway.upstreams(), nowMillis);
         state.getResignedTermsList().forEach(gateway.lease()::recordPeerResignation);
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), cell, gateway.upstreams(), nowMillis);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), cell, gateway.engineModels(), nowMillis);
+        UpstreamSpeedCodec.applyPeer(
+                state.getUnknownFields(),
+                UpstreamSpeedCodec.CELL_FIELD,
+                cell,
+                gateway.upstreams().all(),
+                nowMillis);
         gateway.promptQuarantine()
                 .updatePeer(cell, PromptEvidenceCodec.decode(state.getCrashEvidence(), nowMillis), nowMillis);
         WorkReportCodec.applyPeer(
@@ -157,7 +170,12 @@
                 gateway.fairAdmission(),
                 nowMillis);
         state.getCustomersList().forEach(use -> gateway.quota()
-                .update(CELL_PREFIX + state.getSpeaker(), use.getCustomer(), use.getTokens(), nowMillis));
+                .update(
+                        CELL_PREFIX + state.getSpeaker(),
+                        Long.MAX_VALUE,
+                        use.getCustomer(),
+                        use.getTokens(),
+                        nowMillis));
     }
 
     /**
@@ -246,7 +264,10 @@
         if (includesUsageCounts()) {
             addUsageCounts(state);
         }
-        return state.setCrashEvidence(PromptEvidenceCodec.encode(
+        state.setUnknownFields(
+                gateway.rolloutService().cellFields(sequence % SUMMARIES_PER_ROLLOUT_STATISTICS == 0, nowMillis));
+        return state.mergeUnknownFields(gateway.zoneTraffic().reportForCells(nowMillis))
+                .setCrashEvidence(PromptEvidenceCodec.encode(
                         gateway.promptQuarantine().combinedEvidence(peer -> !peer.startsWith(CELL_PREFIX), nowMillis),
                         nowMillis))
                 .build();
@@ -259,6 +280,10 @@
     private void addUsageCounts(CellState.Builder state) {
         state.addAllEngines(EngineStatisticsCodec.encode(
                 gateway.engineModels(), model -> model.totalExcept(peer -> peer.startsWith(CELL_PREFIX))));
+        state.mergeUnknownFields(speedCodec.encode(
+                UpstreamSpeedCodec.CELL_FIELD,
+                gateway.upstreams().all(),
+                speed -> speed.totalExcept(peer -> peer.startsWith(CELL_PREFIX))));
         gateway.usage()
                 .latestExcept(PeerExchange.REPORTED_WINDOWS, CELL_PREFIX)
                 .forEach((window, counts) ->
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -10,6 +10,8 @@
 import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
+import org.lovagethread.gateway.rollout.RolloutTable;
+import org.lovagethread.gateway.upstream.UpstreamSpeed;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
 /** Provides the objects that all exchanges of a gateway share. Used on the gateway's event loop only. */
@@ -26,6 +28,9 @@
     /** Returns the policy that chooses an upstream for each request. */
     Placement placement();
 
+    /** Returns the rollouts, which restrict the upstreams that may receive a request. */
+    RolloutTable rollouts();
+
     /** Returns the performance models of the engines. */
     EngineModels engineModels();
 
@@ -65,15 +70,15 @@
      */
     long observedMillis();
 
-    /** Returns whether a service has an upstream to which a request has not been sent yet. */
+    /** Returns whether a service has an upstream that is not paused and to which a request has not been sent yet. */
     default boolean hasUntriedUpstream(String service, Set<String> triedUpstreams) {
-        return upstreams().available(service).stream()
+        return upstreams().unpaused(service, nowMillis()).stream()
                 .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id()));
     }
 
     /** Returns whether a service has an upstream without recent failures to which a request has not been sent yet. */
     default boolean hasHealthyUpstream(String service, Set<String> triedUpstreams, long nowMillis) {
-        return upstreams().available(service).stream()
+        return upstreams().unpaused(service, nowMillis).stream()
                 .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id())
                         && !upstream.failureDetector().shouldAvoid(nowMillis));
     }
@@ -83,8 +88,9 @@
             String service, Admission.Candidate candidate, Placement.Choice choice, long nowMillis) {
         double engineMillis =
                 engineModels().of(service).estimate(nowMillis).processingMillis((double) choice.unreadTokens());
-        int engines = Math.max(1, upstreams().available(service).size());
-        return admission().retryAfterMillis(candidate, choice, engineMillis * gatewayCount() / engines, nowMillis);
+        double capacity = Math.max(
+                1 / UpstreamSpeed.MAX_FACTOR, UpstreamSpeed.sum(upstreams().unpaused(service, nowMillis), nowMillis));
+        return admission().retryAfterMillis(candidate, choice, engineMillis * gatewayCount() / capacity, nowMillis);
     }
 
     /** Returns the number of tokens charged for a request. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.duty.DutyLease;
@@ -41,6 +42,7 @@
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
+import org.lovagethread.gateway.rollout.RolloutTable;
 import org.lovagethread.gateway.store.Scheduler;
 import org.lovagethread.gateway.store.StateSync;
 import org.lovagethread.gateway.upstream.LeavingMark;
@@ -79,11 +81,14 @@
     private final ResponseMemory responseMemory =
             new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFERED_RESPONSES);
     private final CrashReporter crashReporter;
+    private final UpstreamSpeedMonitor speedMonitor;
+    private final PauseReporter pauseReporter;
     private final LagDetector lagDetector = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AddressPolicy addressPolicy;
     private final PeerTable peers;
     private final Placement placement;
+    private final ZoneTrafficExchange zoneTraffic;
     private final RetryBudget retryBudget;
     private final UsageLedger usage;
     private final StateSync sync;
@@ -94,6 +99,7 @@
     private final CallerServer callerServer;
     private final PeerExchange peerExchange;
     private final Shutdown shutdown;
+    private final RolloutService rollouts;
     private Channel callerListener;
     private long ticks;
     private boolean leaseHeld;
@@ -106,18 +112,37 @@
      * @param log the event log
      */
     public Gateway(GatewaySettings settings, Function<PooledHttpClient, PlatformPorts> portsFactory, EventLog log) {
+        this(settings, CrossZoneSettings.DEFAULT, portsFactory, log);
+    }
+
+    /**
+     * Creates a gateway, which is started by {@link #start}.
+     *
+     * @param settings the settings
+     * @param crossZone the settings of the traffic between zones
+     * @param portsFactory creates the interfaces to the platform
+     * @param log the event log
+     */
+    public Gateway(
+            GatewaySettings settings,
+            CrossZoneSettings crossZone,
+            Function<PooledHttpClient, PlatformPorts> portsFactory,
+            EventLog log) {
         this.settings = settings;
         this.log = log;
         this.crashReporter = new CrashReporter(log, metrics);
+        this.speedMonitor = new UpstreamSpeedMonitor(upstreams, log);
+        this.pauseReporter = new PauseReporter(log, metrics);
         PooledHttpClient httpClient =
                 new PooledHttpClient(loop, settings.bounds().silenceTimeouts());
         this.ports = portsFactory.apply(httpClient);
         GatewaySettings.Bounds bounds = settings.bounds();
         ZoneTopology zones = new ZoneTopology(settings.zone(), settings.regionByZone());
         this.addressPolicy = new AddressPolicy(zones);
-        this.quota = new TokenQuota(bounds.quotaTolerance(), bounds.quotaToleranceTokens());
+        this.quota = new TokenQuota(bounds.quotaTolerance(), bounds.quotaToleranceTokens(), nowMillis(), Math::random);
         this.peers = new PeerTable(settings.host(), settings.zone(), settings.capacity());
-        this.placement = new Placement(zones, engineModels);
+        this.zoneTraffic = new ZoneTrafficExchange(zones, crossZone, settings.node() + '#' + incarnation, log, metrics);
+        this.placement = new Placement(zones, engineModels, zoneTraffic.routing());
         this.retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindowMillis());
         this.usage = new UsageLedger(bounds.usageWindowMillis(), this::clusterMillis);
         this.sync = new StateSync(
@@ -134,6 +159,7 @@
                 log);
         this.fleetManager =
                 new FleetManager(ports.duties(), upstreams, engineModels, this::nowMillis, lease::fencingToken, log);
+        fleetManager.followDemand(service -> zoneTraffic.demandByZone(service, nowMillis()));
         this.upstreamClient = new NettyUpstreamClient(
                 loop,
                 ports.headerCodec(),
@@ -143,6 +169,7 @@
         this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
         this.peerExchange = new PeerExchange(this, httpClient);
         this.shutdown = new Shutdown(this, bounds);
+        this.rollouts = new RolloutService(this, zones, this::clusterMillis);
     }
 
     /**
@@ -243,14 +270,18 @@
             lease.tick(sync.isComplete() && !callerServer.isDraining() && peerExchange.isPreferredLeader(nowMillis));
             logLeaseChange();
             usageReporter.tick();
+            rollouts.tick(nowMillis);
             crashReporter.report(promptQuarantine.evaluate(upstreams, nowMillis), nowMillis);
             crashReporter.report(promptQuarantine.crashLog(), nowMillis);
+            pauseReporter.tick(upstreams, nowMillis);
             configuration().ifPresent(current -> fleetManager.tick(current, quota.tokensPerSecond(nowMillis)));
         }
         if (ticks % 25 == 0) {
             upstreamClient.tick(nowMillis);
-            quota.expire(nowMillis);
+            zoneTraffic.tick(nowMillis);
+            quota.tick(gatewayCount(), nowMillis);
             fairAdmission.expire(nowMillis);
+            speedMonitor.logChanges(nowMillis);
             for (String id : upstreams.expire(
                     sync.storeHealth().isReachable(), sync.storeHealth().recoveredMillis(), nowMillis)) {
                 log.add(log.line("upstream-gone").put("upstream", id));
@@ -307,9 +338,9 @@
         metrics.setState("requests_in_progress", callerServer.activeRequests());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("buffered_response_bytes", responseMemory.totalBytes());
-        metrics.setState("malformed_leaving_notices", upstreamClient.malformedLeavingNotices());
-        metrics.setState("upstream_connections_opened", upstreamClient.openedConnections());
-        metrics.setState("upstream_connections_with_surplus_bytes", upstreamClient.connectionsWithSurplusBytes());
+        rollouts.expose(metrics);
+        speedMonitor.updateMetrics(metrics, nowMillis());
+        upstreamClient.publish(metrics);
         return new SimpleHttpServer.Response(
                 HttpResponseStatus.OK, "text/plain; version=0.0.4", ByteString.copyFrom(metrics.exposition()));
     }
@@ -394,6 +425,10 @@
         return peers;
     }
 
+    ZoneTrafficExchange zoneTraffic() {
+        return zoneTraffic;
+    }
+
     ClusterClock clock() {
         return clock;
     }
@@ -494,6 +529,15 @@
         return placement;
     }
 
+    RolloutService rolloutService() {
+        return rollouts;
+    }
+
+    @Override
+    public RolloutTable rollouts() {
+        return rollouts.table();
+    }
+
     @Override
     public EngineModels engineModels() {
         return engineModels;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -24,6 +24,7 @@
 import org.lovagethread.gateway.upstream.LeavingMark;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
+import org.lovagethread.gateway.upstream.UpstreamSpeed;
 import org.lovagethread.wire.generated.CellState;
 import org.lovagethread.wire.generated.CustomerUse;
 import org.lovagethread.wire.generated.GatewayDatagram;
@@ -73,6 +74,7 @@
     private final Gateway gateway;
     private final PooledHttpClient httpClient;
     private final CellExchange cellExchange;
+    private final UpstreamSpeedCodec speedCodec = new UpstreamSpeedCodec();
     private final GatewayRegistry registry;
     private final Map<String, Long> laggingSinceMillis = new HashMap<>();
     private final Set<String> pendingFetches = new HashSet<>();
@@ -227,13 +229,18 @@
             nextCountsMillis = nowMillis + COUNTS_INTERVAL_MILLIS;
             addUsageCounts(state, nowMillis);
         }
-        return state.setCrashEvidence(
+        state.setUnknownFields(gateway.rolloutService().gatewayFields(nowMillis));
+        return state.mergeUnknownFields(
+                        gateway.zoneTraffic().reportForPeers(gateway.peers().usesCells(), nowMillis))
+                .setCrashEvidence(
                         PromptEvidenceCodec.encode(gateway.promptQuarantine().localEvidence(nowMillis), nowMillis))
                 .build();
     }
 
     private void addUsageCounts(GatewayState.Builder state, long nowMillis) {
         state.addAllEngines(EngineStatisticsCodec.encode(gateway.engineModels(), EngineModel::local));
+        state.mergeUnknownFields(speedCodec.encode(
+                UpstreamSpeedCodec.GATEWAY_FIELD, gateway.upstreams().all(), UpstreamSpeed::local));
         gateway.peers()
                 .livePeers(nowMillis)
                 .forEach(peer -> state.addHeardHosts(peer.state().getHost()));
@@ -265,8 +272,10 @@
 
     private void apply(GatewayState state, long now) {
         String process = state.getNode() + '#' + state.getIncarnation();
+        gateway.rolloutService().applyGateway(process, state.getUnknownFields(), now);
         gateway.clock().update(state.getNode(), state.getWallClockMillis(), now);
         gateway.lease().recordPeerResignation(state.getResignedTerm());
+        gateway.zoneTraffic().apply(state, process, now);
         LeavingMarkCodec.applyPeer(
                         state.getLeavingUpstreamsList(),
                         state.getLeavingRemainingMillisList(),
@@ -279,11 +288,18 @@
                                 .put("source", process)));
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), state.getNode(), gateway.upstreams(), now);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), process, gateway.engineModels(), now);
+        UpstreamSpeedCodec.applyPeer(
+                state.getUnknownFields(),
+                UpstreamSpeedCodec.GATEWAY_FIELD,
+                process,
+                gateway.upstreams().all(),
+                now);
         gateway.promptQuarantine().updatePeer(process, PromptEvidenceCodec.decode(state.getCrashEvidence(), now), now);
         WorkReportCodec.applyPeer(
                 state.getUnknownFields(), WorkReportCodec.GATEWAY_FIELD, process, gateway.fairAdmission(), now);
+        long uptimeMillis = state.getWallClockMillis() - state.getIncarnation();
         state.getCustomersList()
-                .forEach(use -> gateway.quota().update(process, use.getCustomer(), use.getTokens(), now));
+                .forEach(use -> gateway.quota().update(process, uptimeMillis, use.getCustomer(), use.getTokens(), now));
         state.getWindowsList().forEach(count -> gateway.usage()
                 .update(process, count.getWindow(), count.getCustomer(), count.getRequests()));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package org.lovagethread.gateway.log;
 
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -45,6 +46,41 @@
             .help("Incarnations of upstreams that broke connections with requests, by whether they crashed.")
             .labelNames("service", "crashed")
             .register(registry);
+    private final Counter zoneRequests = Counter.builder()
+            .name("lovagethread_zone_requests_total")
+            .help("Requests sent by service, zone of the upstream and distance.")
+            .labelNames("service", "zone", "distance")
+            .register(registry);
+    private final Counter zoneBytes = Counter.builder()
+            .name("lovagethread_zone_bytes_total")
+            .help("Bytes of requests and responses by service, zone of the upstream and distance.")
+            .labelNames("service", "zone", "distance")
+            .register(registry);
+    private final Gauge zoneShares = Gauge.builder()
+            .name("lovagethread_zone_share")
+            .help("Share of the requests that may leave for another zone, by service and zone.")
+            .labelNames("service", "zone")
+            .register(registry);
+    private final Gauge rolloutGauges = Gauge.builder()
+            .name("lovagethread_rollout")
+            .help("State and figures of the latest rollout of a service, by name.")
+            .labelNames("service", "name")
+            .register(registry);
+    private final Gauge upstreamSpeeds = Gauge.builder()
+            .name("lovagethread_upstream_speed")
+            .help("Lowest and highest estimated relative speed of the upstreams of a service.")
+            .labelNames("service", "bound")
+            .register(registry);
+    private final Counter pauseRequests = Counter.builder()
+            .name("lovagethread_upstream_pause_requests_total")
+            .help("Pauses requested by upstreams, by service and form of the value.")
+            .labelNames("service", "form")
+            .register(registry);
+    private final Gauge pausedUpstreams = Gauge.builder()
+            .name("lovagethread_paused_upstreams")
+            .help("Upstreams that have requested a pause that has not ended, by service.")
+            .labelNames("service")
+            .register(registry);
     private final Gauge stateGauges = Gauge.builder()
             .name("lovagethread_state")
             .help("State of the gateway by name.")
@@ -101,6 +137,67 @@
         upstreamBreaks.labelValues(service, Boolean.toString(crashed)).inc();
     }
 
+    /**
+     * Raises the totals of the requests of a service to the upstreams of a zone.
+     *
+     * @param service the name of the service
+     * @param zone the availability zone
+     * @param distance the label of the distance to the zone
+     * @param requests the number of requests since the start
+     * @param bytes the bytes of requests and responses since the start
+     */
+    public void recordZoneTraffic(String service, String zone, String distance, long requests, long bytes) {
+        raise(zoneRequests.labelValues(service, zone, distance), requests);
+        raise(zoneBytes.labelValues(service, zone, distance), bytes);
+    }
+
+    private static void raise(CounterDataPoint counter, long total) {
+        counter.inc(Math.max(0, total - counter.get()));
+    }
+
+    /**
+     * Sets the share of the requests of a service that may leave for a zone.
+     *
+     * @param service the name of the service
+     * @param zone the availability zone
+     * @param share the share
+     */
+    public void setZoneShare(String service, String zone, double share) {
+        zoneShares.labelValues(service, zone).set(share);
+    }
+
+    /**
+     * Sets the range of the estimated speeds of the upstreams of a service.
+     *
+     * @param service the name of the service
+     * @param lowest the speed of the slowest upstream relative to the typical one
+     * @param highest the speed of the fastest upstream relative to the typical one
+     */
+    public void setUpstreamSpeeds(String service, double lowest, double highest) {
+        upstreamSpeeds.labelValues(service, "lowest").set(lowest);
+        upstreamSpeeds.labelValues(service, "highest").set(highest);
+    }
+
+    /**
+     * Counts a pause that an upstream has requested.
+     *
+     * @param service the name of its service
+     * @param form the label of the form of the value
+     */
+    public void recordPauseRequest(String service, String form) {
+        pauseRequests.labelValues(service, form).inc();
+    }
+
+    /**
+     * Sets the number of paused upstreams of a service.
+     *
+     * @param service the name of the service
+     * @param count the number
+     */
+    public void setPausedUpstreams(String service, int count) {
+        pausedUpstreams.labelValues(service).set(count);
+    }
+
     /**
      * Sets a gauge of the state of the gateway.
      *
@@ -111,6 +208,17 @@
         stateGauges.labelValues(name).set((double) value);
     }
 
+    /**
+     * Sets a gauge of the rollout of a service.
+     *
+     * @param service the name of the service
+     * @param name the name label of the gauge
+     * @param value the current value
+     */
+    public void setRollout(String service, String name, long value) {
+        rolloutGauges.labelValues(service, name).set((double) value);
+    }
+
     /**
      * Returns all metrics in the Prometheus text format.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FleetPlanner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.config.ServiceSpec.EngineSpec;
 import org.lovagethread.gateway.config.ServiceSpec.FleetSpec;
@@ -11,8 +12,8 @@
 /**
  * Plans the number of instances of a service in each availability zone.
  *
- * <p>Reclaimable instances serve the load where they are cheaper. They are distributed evenly, so that enough of them
- * remain if one zone loses all of its reclaimable instances. On-demand instances cover the shortfall, in the
+ * <p>Reclaimable instances serve the load where they are cheaper. They are distributed by the demand of the zones, evenly
+ * if it is unknown, so that enough of them remain if one zone loses all of its reclaimable instances. On-demand instances cover the shortfall, in the
  * cheapest zones first.
  *
  * <p>This handles the reclaim of all reclaimable instances of a zone at once while no replacements are available, and
@@ -49,6 +50,9 @@
     /** Price of a reclaimable instance relative to on-demand ones at and above which none is ordered. */
     private static final double RECLAIMABLE_PRICE_LIMIT = 0.8;
 
+    /** Missing capacity in instances that causes no order, since the speeds of instances are estimated. */
+    private static final double CAPACITY_TOLERANCE = 0.25;
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     /**
@@ -67,8 +71,20 @@
      * @param zone the availability zone
      * @param reclaimable the number of reclaimable instances that are running or starting and not leaving
      * @param onDemand the number of on-demand instances that are not leaving
+     * @param reclaimableCapacity the sum of the speeds of the reclaimable instances; their number if all are equal
      */
-    public record ZoneFleet(String zone, int reclaimable, int onDemand) {}
+    public record ZoneFleet(String zone, int reclaimable, int onDemand, double reclaimableCapacity) {
+        /**
+         * Creates a fleet of instances of mean speed.
+         *
+         * @param zone the availability zone
+         * @param reclaimable the number of reclaimable instances that are running or starting and not leaving
+         * @param onDemand the number of on-demand instances that are not leaving
+         */
+        public ZoneFleet(String zone, int reclaimable, int onDemand) {
+            this(zone, reclaimable, onDemand, (double) reclaimable);
+        }
+    }
 
     /**
      * Returns the number of instances that are kept at any load, as a reserve for a sudden start of traffic.
@@ -145,18 +161,41 @@
      * @return one order per zone and kind of instance
      */
     public List<FleetOrder> plan(ServiceSpec service, List<ZoneFleet> zones, int needed, int minNeeded) {
+        return plan(service, zones, needed, minNeeded, Map.of());
+    }
+
+    /**
+     * Returns the orders that describe the planned fleet, distributed by the demand of the zones.
+     *
+     * <p>The total is that of an even distribution. No zone has more reclaimable instances than it may lose while those
+     * of the other zones still serve the load.
+     *
+     * @param service the service; it must have a fleet
+     * @param zones the running instances, one entry per zone in which the service may run
+     * @param needed the number of instances needed for the load if reclaimable ones are available
+     * @param minNeeded the number of instances needed for the load in any case
+     * @param shareByZone the share of each zone in the demand; empty for an even distribution
+     * @return one order per zone and kind of instance
+     */
+    public List<FleetOrder> plan(
+            ServiceSpec service, List<ZoneFleet> zones, int needed, int minNeeded, Map<String, Double> shareByZone) {
         FleetSpec fleet = service.fleet().orElseThrow();
         boolean useReclaimable = fleet.reclaimablePrice() > 0 && fleet.reclaimablePrice() < RECLAIMABLE_PRICE_LIMIT;
         int remainingZones = Math.max(1, zones.size() - 1);
         int withSpares = (int) Math.ceil(needed * SPARE_FACTOR);
         int reclaimableEach = useReclaimable ? clampToLimits(ceilDiv(withSpares, remainingZones), fleet) : 0;
         int missingInstances = useReclaimable ? missingInstances(zones, minNeeded) : minNeeded;
+        Map<String, Integer> reclaimableCounts = reclaimableCounts(zones, fleet, reclaimableEach, needed, shareByZone);
+        Map<String, Integer> onDemandCounts = useReclaimable || shareByZone.isEmpty()
+                ? Map.of()
+                : ZoneDistribution.distribute(
+                        names(zones), minNeeded, fleet.minInstances(), fleet.maxInstances(), shareByZone);
         List<FleetOrder> orders = new ArrayList<>();
         int zonesLeft = zones.size();
         for (ZoneFleet zone : cheapestFirst(zones, fleet)) {
             int onDemand = Math.min(
                     fleet.maxInstances() - Math.min(fleet.maxInstances(), zone.reclaimable()),
-                    ceilDiv(missingInstances, zonesLeft));
+                    onDemandCounts.getOrDefault(zone.zone(), ceilDiv(missingInstances, zonesLeft)));
             if (!useReclaimable) {
                 onDemand = clampToLimits(onDemand, fleet);
             }
@@ -164,19 +203,38 @@
             zonesLeft--;
             orders.add(new FleetOrder(service.name(), zone.zone(), onDemand, false));
             if (useReclaimable) {
-                int reclaimable = Math.min(reclaimableEach, fleet.maxInstances() - onDemand);
+                int reclaimable = Math.min(reclaimableCounts.get(zone.zone()), fleet.maxInstances() - onDemand);
                 orders.add(new FleetOrder(service.name(), zone.zone(), reclaimable, true));
             }
         }
         return orders;
     }
 
+    /** Returns the reclaimable instances by zone: as many in each, or by the shares of the zones in the demand. */
+    private static Map<String, Integer> reclaimableCounts(
+            List<ZoneFleet> zones, FleetSpec fleet, int countEach, int needed, Map<String, Double> shareByZone) {
+        int total = countEach * zones.size();
+        int largest = shareByZone.isEmpty() ? countEach : Math.max(countEach, total - needed);
+        return ZoneDistribution.distribute(
+                names(zones),
+                total,
+                Math.min(countEach, fleet.minInstances()),
+                Math.min(fleet.maxInstances(), largest),
+                shareByZone);
+    }
+
+    private static List<String> names(List<ZoneFleet> zones) {
+        return zones.stream().map(ZoneFleet::zone).toList();
+    }
+
     /** Returns the number of missing instances, now or after the loss of one more zone's reclaimable instances. */
     private static int missingInstances(List<ZoneFleet> zones, int needed) {
-        int available = zones.stream().mapToInt(ZoneFleet::reclaimable).sum();
-        int largestZone = zones.stream().mapToInt(ZoneFleet::reclaimable).max().orElse(0);
-        int afterLoss = (int) Math.ceil(needed * SURVIVING_SHARE) - (available - largestZone);
-        return Math.max(0, Math.max(needed - available, afterLoss));
+        double available =
+                zones.stream().mapToDouble(ZoneFleet::reclaimableCapacity).sum();
+        double largestZone =
+                zones.stream().mapToDouble(ZoneFleet::reclaimableCapacity).max().orElse(0);
+        double afterLoss = Math.ceil(needed * SURVIVING_SHARE) - (available - largestZone);
+        return Math.max(0, (int) Math.ceil(Math.max(needed - available, afterLoss) - CAPACITY_TOLERANCE));
     }
 
     private static List<ZoneFleet> cheapestFirst(List<ZoneFleet> zones, FleetSpec fleet) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/FairnessEmulation.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/FairnessEmulation.java
@@ -17,6 +17,7 @@
 import org.lovagethread.gateway.policy.FairAdmission;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptPrefix;
+import org.lovagethread.gateway.policy.SpeedRecorder;
 import org.lovagethread.gateway.policy.WorkLedger;
 import org.lovagethread.gateway.policy.ZoneTopology;
 import org.lovagethread.gateway.upstream.Upstream;
@@ -235,9 +236,9 @@
                             firstEventMillis[0] = clock.nowMillis();
                             choice.upstream().load().recordFirstEvent(choice.unreadTokens());
                             if (!choice.waitsForCapacity()) {
-                                choice.upstream()
-                                        .recordDeviation(model.recordFirstEvent(
-                                                choice.queuedTokens(), Math.round(clock.nowMillis() - sentMillis)));
+                                SpeedRecorder.recordFirstEvent(
+                                        model, choice, Math.round(clock.nowMillis() - sentMillis), (long)
+                                                clock.nowMillis());
                             }
                             recordShare(gateway, request, choice, clock.nowMillis() - sentMillis);
                             record(request, clock.nowMillis());
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,6 +27,7 @@
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
+import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.FairAdmission;
 import org.lovagethread.gateway.policy.Placement;
@@ -34,6 +36,9 @@
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
+import org.lovagethread.gateway.rollout.RolloutLog;
+import org.lovagethread.gateway.rollout.RolloutTable;
+import org.lovagethread.gateway.upstream.PauseRequest;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
@@ -49,6 +54,12 @@
     ResponseMemory responseMemory = new ResponseMemory(Long.MAX_VALUE);
     final UsageLedger usage = new UsageLedger(5_000, this::nowMillis);
     final PromptQuarantine promptQuarantine = new PromptQuarantine();
+    RolloutTable rollouts = new RolloutTable(
+            Optional.empty(),
+            new ZoneTopology("a", Map.of("a", "north")),
+            "g",
+            () -> 0,
+            new RolloutLog(new EventLog("g", new ByteArrayOutputStream())));
     long currentMillis = 1_000;
     long unobservedMillis;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
@@ -57,9 +68,11 @@
     Optional<RuntimeException> responseFailure = Optional.empty();
     Optional<RuntimeException> sendFailure = Optional.empty();
     ExchangeRecord record;
+    long pauseMillis;
+    long retryAfterMillis;
     private final EngineModels engineModels = new EngineModels();
     private final FairAdmission fairAdmission = new FairAdmission(() -> 0);
-    private final TokenQuota quota = new TokenQuota(0, 0);
+    private final TokenQuota quota = new TokenQuota(0, 0, 0, () -> 0.5);
     private final Placement placement = new Placement(new ZoneTopology("a", Map.of("a", "north")), engineModels);
 
     /** An attempt at an upstream, whose response the test determines. */
@@ -178,6 +191,13 @@
         return response.headers().contains(LEAVING) ? LeavingNotice.LEAVING : LeavingNotice.NONE;
     }
 
+    @Override
+    public Optional<PauseRequest> pauseRequest(HttpResponse rejection) {
+        return pauseMillis > 0 && rejection.headers().contains(NOT_RUN)
+                ? Optional.of(new PauseRequest(PauseRequest.Form.REGULAR, pauseMillis))
+                : Optional.empty();
+    }
+
     @Override
     public boolean promisesNotRun(HttpResponseStatus status) {
         return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
@@ -209,8 +229,9 @@
     }
 
     @Override
-    public void sendError(ErrorKind kind, long retryAfterMillis) {
+    public void sendError(ErrorKind kind, long retryMillis) {
         response = kind.status() + " " + kind.label();
+        retryAfterMillis = retryMillis;
     }
 
     @Override
@@ -256,6 +277,11 @@
         return placement;
     }
 
+    @Override
+    public RolloutTable rollouts() {
+        return rollouts;
+    }
+
     @Override
     public EngineModels engineModels() {
         return engineModels;
