--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/CrossZoneSettings.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/CrossZoneSettings.java
@@ -15,10 +15,10 @@
     public static final double DEFAULT_REGION_LINK_MEGABITS = 21;
 
     /** Controlled shares, and the narrowest link between regions. */
-    public static final CrossZoneSettings DEFAULT =
+    public static final CrossZoneSettings CONTROLLED =
             new CrossZoneSettings(true, DEFAULT_REGION_LINK_MEGABITS * BITS_PER_MEGABIT);
 
-    /** Fixed costs. */
+    /** Fixed costs of leaving the zone, which is the default. */
     public static final CrossZoneSettings FIXED_COSTS =
             new CrossZoneSettings(false, DEFAULT_REGION_LINK_MEGABITS * BITS_PER_MEGABIT);
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -110,7 +110,7 @@
      * @param log the event log
      */
     public Gateway(GatewaySettings settings, Function<PooledHttpClient, PlatformPorts> portsFactory, EventLog log) {
-        this(settings, CrossZoneSettings.DEFAULT, portsFactory, log);
+        this(settings, CrossZoneSettings.FIXED_COSTS, portsFactory, log);
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ZoneTrafficExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ZoneTrafficExchange.java
@@ -60,7 +60,7 @@
 
     /** Returns the flows that the next state of this gateway contains; none if no report is due. */
     List<ZoneFlow> reportForPeers(boolean usesCells, long nowMillis) {
-        if (nowMillis < nextReportMillis || hasOneZone()) {
+        if (nowMillis < nextReportMillis || !isReported()) {
             return List.of();
         }
         nextReportMillis = nowMillis + (usesCells ? CELL_INTERVAL_MILLIS : MESH_INTERVAL_MILLIS);
@@ -69,7 +69,7 @@
 
     /** Returns the flows that the next summary of the cell contains; none if no report is due. */
     List<ZoneFlow> reportForCells(long nowMillis) {
-        if (nowMillis < nextSummaryMillis || hasOneZone()) {
+        if (nowMillis < nextSummaryMillis || !isReported()) {
             return List.of();
         }
         nextSummaryMillis = nowMillis + CELL_INTERVAL_MILLIS;
@@ -77,8 +77,8 @@
                 routing.traffic().report(sender -> !sender.startsWith(CellExchange.CELL_PREFIX)));
     }
 
-    private boolean hasOneZone() {
-        return zones.regionByZone().size() <= 1;
+    private boolean isReported() {
+        return followsDemand && zones.regionByZone().size() > 1;
     }
 
     /** Applies the state of a peer. */
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ZoneTrafficExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ZoneTrafficExchangeTest.java
@@ -19,7 +19,7 @@
     private static final Map<String, String> REGIONS = Map.of("a", "one", "b", "one", "c", "two");
 
     private final GatewayMetrics metrics = new GatewayMetrics();
-    private final ZoneTrafficExchange exchange = exchange(REGIONS, CrossZoneSettings.DEFAULT);
+    private final ZoneTrafficExchange exchange = exchange(REGIONS, CrossZoneSettings.CONTROLLED);
 
     private ZoneTrafficExchange exchange(Map<String, String> regions, CrossZoneSettings settings) {
         return new ZoneTrafficExchange(
@@ -52,7 +52,7 @@
     /** Guards against messages that change in a deployment with one zone. */
     @Test
     void reportsNothingInOneZone() {
-        ZoneTrafficExchange single = exchange(Map.of("a", "one"), CrossZoneSettings.DEFAULT);
+        ZoneTrafficExchange single = exchange(Map.of("a", "one"), CrossZoneSettings.CONTROLLED);
         single.routing().traffic().recordSent("pool", "a", 10, 100, 0);
         assertThat(single.reportForPeers(false, 0)).isEmpty();
         assertThat(single.reportForCells(0)).isEmpty();
