Show that a former holder's order arrives after its successor's

Cause: a duty call that has timed out is closed in order, so its bytes stay with the kernel and are resent once the path to the platform has healed. The lease assumes that no call of a term arrives after it.

--- /dev/null
+++ b/review/src-2/Caller.java
@@ -0,0 +1,69 @@
+package org.lovagethread.review2;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** Sends one request on a connection of its own, as a client does, and reads its answer. */
+final class Caller {
+    static final String HOST = "pond.example";
+    static final String KEY = "k-pond-1";
+    private static final int DEADLINE_MILLIS = 2_500;
+
+    /** The answer to a request; the status is zero if the connection ended without a complete answer. */
+    record Answer(String requestId, long sentNanos, long endNanos, int status, String body) {}
+
+    private Caller() {}
+
+    static Answer post(String nodeHost, int port, String path, String requestId) {
+        long sentNanos = System.nanoTime();
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(nodeHost, port), 1_000);
+            socket.setSoTimeout(DEADLINE_MILLIS);
+            String request = "POST " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Request-Id: " + requestId
+                    + "\r\nX-Request-Deadline: " + DEADLINE_MILLIS + "\r\nAuthorization: Bearer " + KEY
+                    + "\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbook";
+            sentNanos = System.nanoTime();
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return read(socket, requestId, sentNanos);
+        } catch (IOException e) {
+            return new Answer(requestId, sentNanos, System.nanoTime(), 0, e.toString());
+        }
+    }
+
+    private static Answer read(Socket socket, String requestId, long sentNanos) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        String line = readLine(in);
+        int status = line.length() > 11 ? Integer.parseInt(line.substring(9, 12)) : 0;
+        int length = -1;
+        while (!(line = readLine(in)).isEmpty()) {
+            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(15).strip());
+            }
+        }
+        byte[] body = length >= 0 ? in.readNBytes(length) : in.readAllBytes();
+        boolean complete = body.length == length;
+        return new Answer(
+                requestId,
+                sentNanos,
+                System.nanoTime(),
+                complete ? status : 0,
+                new String(body, StandardCharsets.UTF_8));
+    }
+
+    private static String readLine(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int next = in.read();
+        while (next >= 0 && next != '\n') {
+            if (next != '\r') {
+                line.write(next);
+            }
+            next = in.read();
+        }
+        return line.toString(StandardCharsets.US_ASCII);
+    }
+}
