--- a/review/src-2/Caller.java
+++ b/review/src-2/Caller.java
@@ -35,6 +35,34 @@
         }
     }
 
+    /** Sends a request for a stream and returns its events; the status is zero if they are not complete. */
+    static Answer stream(String nodeHost, int port, String path, String requestId) {
+        long sentNanos = System.nanoTime();
+        StringBuilder text = new StringBuilder();
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(nodeHost, port), 1_000);
+            socket.setSoTimeout(12_000);
+            String request = "POST " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Request-Id: " + requestId
+                    + "\r\nX-Request-Deadline: 12000\r\nAuthorization: Bearer " + KEY
+                    + "\r\nX-Model-Name: m\r\nX-Token-Usage: 800,50\r\nX-Prompt-Prefix: a1:200,b" + requestId.hashCode()
+                    + ":600\r\nContent-Length: 4\r\nConnection: close\r\n\r\nplan";
+            sentNanos = System.nanoTime();
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            int next = in.read();
+            while (next >= 0) {
+                text.append((char) next);
+                next = in.read();
+            }
+        } catch (IOException e) {
+            text.append(e);
+        }
+        boolean complete = text.indexOf(" end\n\n") > 0 && text.toString().endsWith("0\r\n\r\n");
+        int status = text.length() > 12 && text.indexOf("HTTP/1.1 ") == 0 ? Integer.parseInt(text.substring(9, 12)) : 0;
+        return new Answer(
+                requestId, sentNanos, System.nanoTime(), complete || status != 200 ? status : 0, text.toString());
+    }
+
     private static Answer read(Socket socket, String requestId, long sentNanos) throws IOException {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         String line = readLine(in);
--- a/review/src-2/Node.java
+++ b/review/src-2/Node.java
@@ -32,6 +32,10 @@
         return "front-highlands-a-" + (index + 1);
     }
 
+    Ports ports() {
+        return ports;
+    }
+
     String host() {
         return "127.0.0." + (11 + index);
     }
--- a/review/src-2/Server.java
+++ b/review/src-2/Server.java
@@ -5,6 +5,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -13,7 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
-/** A sound server of a plain service. */
+/** A sound server; it answers with a stream of events where it works for more than a second, else with a short body. */
 final class Server implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -22,6 +23,9 @@
 
     private final String id;
     private final String service;
+    private static final long STREAM_MILLIS = 1_000;
+    private static final int EVENTS = 25;
+
     private final long workMillis;
     private final long born = System.currentTimeMillis();
     private final List<Run> runs = new ArrayList<>();
@@ -87,6 +91,10 @@
             return;
         }
         addRun(new Run(System.nanoTime(), requestId));
+        if (workMillis > STREAM_MILLIS) {
+            sendStream(exchange, requestId);
+            return;
+        }
         try {
             Thread.sleep(workMillis);
         } catch (InterruptedException e) {
@@ -94,14 +102,34 @@
             return;
         }
         byte[] answer = (requestId + ' ' + body.length).getBytes(StandardCharsets.UTF_8);
+        setHeaders(exchange, requestId);
+        exchange.sendResponseHeaders(200, answer.length);
+        exchange.getResponseBody().write(answer);
+        exchange.close();
+    }
+
+    private void setHeaders(HttpExchange exchange, String requestId) {
         exchange.getResponseHeaders().set("X-Response-Seal", "seal-" + requestId);
         if (leaving) {
             exchange.getResponseHeaders().set("Server-Leaving", "1");
             exchange.getResponseHeaders().set("Connection", "close");
         }
-        exchange.sendResponseHeaders(200, answer.length);
-        exchange.getResponseBody().write(answer);
-        exchange.close();
+    }
+
+    private void sendStream(HttpExchange exchange, String requestId) throws IOException {
+        setHeaders(exchange, requestId);
+        exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+        exchange.sendResponseHeaders(200, 0);
+        try (OutputStream out = exchange.getResponseBody()) {
+            for (int event = 1; event <= EVENTS; event++) {
+                Thread.sleep(workMillis / EVENTS);
+                String text = "id: " + event + "\ndata: " + requestId + (event == EVENTS ? " end" : "") + "\n\n";
+                out.write(text.getBytes(StandardCharsets.UTF_8));
+                out.flush();
+            }
+        } catch (InterruptedException e) {
+            throw new IOException("the server has ended", e);
+        }
     }
 
     private synchronized void addRun(Run run) {
