Show the missed change of a list with three nodes

Cause: the case ran with one node, where no other could have told it of the change. Marks of other nodes do not help after a removal either: all entries of a list get the revision of its last page, which is later than the removal.

Change: review/7 runs three nodes and restarts one; the server's entry is removed without a report of draining, and that of its successor appears. Removals of the store stand-in carry the revision of the removal.

--- a/review/src-2/MissedLeaving.java
+++ b/review/src-2/MissedLeaving.java
@@ -24,7 +24,8 @@
     /** Time from the report of the server until it ends. */
     private static final long LEAVES_MILLIS = 4_500;
 
-    private static final int REQUESTS = 8;
+    private static final int NODES = 3;
+    private static final int REQUESTS = 24;
 
     private MissedLeaving() {}
 
@@ -34,34 +35,43 @@
 
     private static int run(Recorder recorder, Path folder, boolean trouble) throws Exception {
         ExecutorService executor = Executors.newCachedThreadPool();
+        List<Node> nodes = new ArrayList<>();
         try (Store store = new Store();
                 DutyApi api = new DutyApi(false);
                 Server leaving = new Server("i-0a", "ice-assistant", 1_500);
                 Server staying = new Server("i-0b", "ice-assistant", 1_500);
-                Node node = new Node(0, Scenario.freePorts(1), folder, store.port(), api.port())) {
+                Server added = new Server("i-0c", "ice-assistant", 1_500)) {
             store.put("config", "main", Scenario.configuration(7));
             store.put("servers", leaving.id(), leaving.entry("ready"));
             store.put("servers", staying.id(), staying.entry("ready"));
             for (int i = 0; i < OTHER_SERVERS; i++) {
                 store.put("servers", "i-%04d".formatted(1_000 + i), otherEntry(i));
             }
-            node.start();
-            node.awaitReady(20);
-            recorder.line("the node is ready; it is stopped and started again");
-            node.signal("TERM");
-            if (!node.awaitExit(10)) {
+            Node.Ports ports = Scenario.freePorts(NODES);
+            for (int i = 0; i < NODES; i++) {
+                Node node = new Node(i, ports, folder, store.port(), api.port());
+                nodes.add(node);
+                node.start();
+            }
+            for (Node node : nodes) {
+                node.awaitReady(20);
+            }
+            Node restarted = nodes.get(NODES - 1);
+            recorder.line("the nodes are ready; " + restarted.name() + " is stopped and started again");
+            restarted.signal("TERM");
+            if (!restarted.awaitExit(10)) {
                 throw new IllegalStateException("the node does not stop");
             }
-            AtomicLong drainNanos = new AtomicLong();
+            AtomicLong leaveNanos = new AtomicLong();
             CountDownLatch listed = new CountDownLatch(1);
             AtomicBoolean first = new AtomicBoolean(true);
             store.onListPage((kind, truncated) -> {
                 if (kind.equals("servers") && truncated && first.getAndSet(false)) {
                     recorder.line("the store has answered the first page of the servers");
                     if (trouble) {
-                        store.put("servers", leaving.id(), leaving.entry("draining"));
-                        drainNanos.set(System.nanoTime());
-                        recorder.line("the store has accepted that " + leaving.id() + " is draining");
+                        replace(store, leaving, added);
+                        leaveNanos.set(System.nanoTime());
+                        recorder.line("the entry of " + leaving.id() + " has been removed, and " + added.id() + " added");
                     }
                 } else if (kind.equals("servers") && !truncated) {
                     recorder.line("the store has answered the last page of the servers");
@@ -69,26 +79,25 @@
                 }
             });
             long startNanos = System.nanoTime();
-            node.start();
+            restarted.start();
             if (!listed.await(20, TimeUnit.SECONDS)) {
                 throw new IllegalStateException("the node does not read the servers");
             }
-            node.awaitReady(20);
-            recorder.line("the node is ready again");
+            restarted.awaitReady(20);
+            recorder.line(restarted.name() + " is ready again");
             sleepUntil(startNanos + (CONTACT_MILLIS + 500) * 1_000_000);
             Future<?> end = executor.submit(() -> {
                 if (trouble) {
-                    sleepUntil(drainNanos.get() + LEAVES_MILLIS * 1_000_000);
+                    sleepUntil(leaveNanos.get() + LEAVES_MILLIS * 1_000_000);
                     leaving.close();
-                    recorder.line(leaving.id() + " has left");
-                    store.remove("servers", leaving.id());
+                    recorder.line("the process of " + leaving.id() + " has ended");
                 }
             });
             List<Future<Caller.Answer>> answers = new ArrayList<>();
             for (int i = 0; i < REQUESTS; i++) {
-                String requestId = "q-" + i;
-                answers.add(executor.submit(
-                        () -> Caller.stream(node.host(), node.ports().front(), "/query/2f", requestId)));
+                Node node = nodes.get(i % NODES);
+                String requestId = "q-" + i + "-at-" + node.name();
+                answers.add(executor.submit(() -> Caller.stream(node.host(), ports.front(), "/query/2f", requestId)));
                 Thread.sleep(10);
             }
             int lost = 0;
@@ -100,21 +109,29 @@
                         + (answer.status() == 0 ? "broken off" : "status " + answer.status()));
             }
             end.get();
-            return check(leaving, drainNanos.get(), lost, recorder);
+            return check(leaving, leaveNanos.get(), lost, recorder);
         } finally {
+            nodes.forEach(Node::close);
             executor.shutdownNow();
         }
     }
 
-    private static int check(Server leaving, long drainNanos, int lost, Recorder recorder) {
+    /** Replaces a server, as in a release: its entry is removed, and that of its successor appears. */
+    private static void replace(Store store, Server leaving, Server added) {
+        leaving.entry("draining");
+        store.remove("servers", leaving.id());
+        store.put("servers", added.id(), added.entry("ready"));
+    }
+
+    private static int check(Server leaving, long leaveNanos, int lost, Recorder recorder) {
         int late = 0;
         for (Server.Run run : leaving.runs()) {
-            long afterMillis = drainNanos == 0 ? 0 : (run.atNanos() - drainNanos) / 1_000_000;
+            long afterMillis = leaveNanos == 0 ? 0 : (run.atNanos() - leaveNanos) / 1_000_000;
             recorder.line(run.atNanos(), leaving.id() + " runs " + run.requestId()
-                    + (drainNanos == 0 ? "" : ", " + afterMillis + " ms after the store accepted that it is draining"));
+                    + (leaveNanos == 0 ? "" : ", " + afterMillis + " ms after its entry was removed"));
             late += afterMillis > DRAIN_MILLIS ? 1 : 0;
         }
-        recorder.line(late + " requests reached a server that had been draining for more than " + DRAIN_MILLIS + " ms; "
+        recorder.line(late + " requests reached a server whose entry had been gone for more than " + DRAIN_MILLIS + " ms; "
                 + lost + " of " + REQUESTS + " got no complete answer");
         return late > 0 ? Scenario.BROKEN : Scenario.HELD;
     }
--- a/review/src-2/Store.java
+++ b/review/src-2/Store.java
@@ -83,7 +83,9 @@
             return false;
         }
         revision++;
-        addEvent(kind, object, true);
+        ObjectNode last = object.deepCopy();
+        ((ObjectNode) last.path("metadata")).put("rev", revision);
+        addEvent(kind, last, true);
         return true;
     }
 
