Show that a part that crashes servers after an event is never refused

Cause: the first event of an answer counts as proof that the parts of its prompt are sound, and a request that breaks off after it as evidence against none.

--- a/review/src-2/Caller.java
+++ b/review/src-2/Caller.java
@@ -37,6 +37,11 @@
 
     /** Sends a request for a stream and returns its events; the status is zero if they are not complete. */
     static Answer stream(String nodeHost, int port, String path, String requestId) {
+        return stream(nodeHost, port, path, requestId, "a1:200,b" + Integer.toHexString(requestId.hashCode()) + ":600");
+    }
+
+    /** Sends a request for a stream with the parts of its prompt. */
+    static Answer stream(String nodeHost, int port, String path, String requestId, String prompt) {
         long sentNanos = System.nanoTime();
         StringBuilder text = new StringBuilder();
         try (Socket socket = new Socket()) {
@@ -44,8 +49,8 @@
             socket.setSoTimeout(12_000);
             String request = "POST " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Request-Id: " + requestId
                     + "\r\nX-Request-Deadline: 12000\r\nAuthorization: Bearer " + KEY
-                    + "\r\nX-Model-Name: m\r\nX-Token-Usage: 800,50\r\nX-Prompt-Prefix: a1:200,b" + requestId.hashCode()
-                    + ":600\r\nContent-Length: 4\r\nConnection: close\r\n\r\nplan";
+                    + "\r\nX-Model-Name: m\r\nX-Token-Usage: 800,50\r\nX-Prompt-Prefix: " + prompt
+                    + "\r\nContent-Length: 4\r\nConnection: close\r\n\r\nplan";
             sentNanos = System.nanoTime();
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
             InputStream in = new BufferedInputStream(socket.getInputStream());
