--- a/review/src-2/Caller.java
+++ b/review/src-2/Caller.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 /** Sends one request on a connection of its own, as a client does, and reads its answer. */
 final class Caller {
@@ -79,7 +80,7 @@
         int status = line.length() > 11 ? Integer.parseInt(line.substring(9, 12)) : 0;
         int length = -1;
         while (!(line = readLine(in)).isEmpty()) {
-            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
                 length = Integer.parseInt(line.substring(15).strip());
             }
         }
--- a/review/src-2/DeadlyPart.java
+++ b/review/src-2/DeadlyPart.java
@@ -19,11 +19,11 @@
 
 /**
  * One part of prompts crashes each server that begins to write an answer on it. Counts the requests with the part that
- * reach servers later than they may, and the sound streams that are broken off by then.
+ * reach servers later than they may, and the sound streams that are broken off in that time.
  *
  * <p>Arguments: the file for the record, and what is tried: {@code event}, servers crash with their first event written;
- * {@code half}, with half of it written; {@code restart}, they crash before, and all nodes are killed at once after the
- * part has been refused; {@code before}, as {@code restart} without the kill.
+ * {@code half}, with half of it written; {@code restart}, they crash before, and all nodes are killed at once after
+ * the part has been refused; {@code before}, as {@code restart} without the kill.
  */
 public final class DeadlyPart {
     private static final int NODES = 3;
@@ -169,8 +169,10 @@
                     new ModelServer();
                     Thread.sleep(EXPIRY_MILLIS - DOWN_MILLIS);
                     store.remove("servers", id);
-                } catch (IOException | InterruptedException e) {
+                } catch (IOException e) {
                     recorder.line("a server does not come back: " + e);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
                 }
             });
         }
@@ -212,8 +214,8 @@
         stopping.set(true);
         Thread.sleep(1_500);
         recorder.line(arrivals.get() + " requests with the part reached servers, " + crashes.get() + " crashes; "
-                + late.get() + " were sent by machines in touch later than " + CONTACT_MILLIS + " ms after the fifth crash ("
-                + ALLOWED + " are allowed)");
+                + late.get() + " were sent by machines in touch later than " + CONTACT_MILLIS
+                + " ms after the fifth crash (" + ALLOWED + " are allowed)");
         recorder.line(sound.get() + " sound streams, " + soundLost.get() + " broken off, " + soundLostLate.get()
                 + " of them later than " + CONTACT_MILLIS + " ms after the fifth crash");
         boolean ran = sound.get() > 0 && (!trouble || crashes.get() >= CRASHES_BEFORE_LIMIT);
@@ -286,9 +288,9 @@
 
     private void recordArrival(String requestId, String server) {
         arrivals.incrementAndGet();
-        if (System.nanoTime() > limitNanos) {
-            recorder.line(server + " receives " + requestId + ", late arrival " + late.incrementAndGet());
-        }
+        boolean isLate = System.nanoTime() > limitNanos;
+        recorder.line(
+                server + " receives " + requestId + (isLate ? ", late arrival " + late.incrementAndGet() : ""));
     }
 
     private void close() {
--- a/review/src-2/EndlessEvents.java
+++ b/review/src-2/EndlessEvents.java
@@ -20,8 +20,8 @@
 import org.lovagethread.review2.Scenario.Recorder;
 
 /**
- * A model server answers one stream with a body of line feeds without end. Checks whether the requests of other clients,
- * to another service, are answered at their route's time-out at the latest.
+ * A model server answers one stream with a body of line feeds without end. Checks whether the requests of other
+ * clients, to another service, are answered at their route's time-out at the latest.
  */
 public final class EndlessEvents {
     private static final int FAULTY_STREAMS = 1;
@@ -215,13 +215,13 @@
                 unanswered += millis > TIMEOUT_MILLIS + ALLOWED_MILLIS ? 1 : 0;
                 longestMillis = Math.max(longestMillis, millis);
             }
-            if (millis > TIMEOUT_MILLIS) {
-                recorder.line(answer.endNanos(), answer.requestId() + " ended after " + millis + " ms, status "
-                        + answer.status());
-            }
+            recorder.line(
+                    answer.endNanos(),
+                    answer.requestId() + " ended after " + millis + " ms, status " + answer.status());
         }
         recorder.line(total + " requests of others, the longest took " + longestMillis + " ms; " + overdue
-                + " were unanswered at " + TIMEOUT_MILLIS + " ms, " + unanswered + " of them half a second later as well");
+                + " were unanswered at " + TIMEOUT_MILLIS + " ms, " + unanswered
+                + " of them half a second later as well");
         return overdue >= MIN_OVERDUE && 2 * unanswered > overdue ? Scenario.BROKEN : Scenario.HELD;
     }
 }
--- a/review/src-2/Link.java
+++ b/review/src-2/Link.java
@@ -13,9 +13,9 @@
 /**
  * The path from one machine to one address of the platform, which can be cut in both directions.
  *
- * <p>Bytes that are sent into a cut are resent as TCP does it, after 0.2 s and then after pauses that double, and arrive
- * with the first of these after the cut has healed. They are lost if their sender resets the connection. A connection
- * that is opened during the cut is never established.
+ * <p>Bytes that are sent into a cut are resent as TCP does it, after 0.2 s and then after pauses that double, and
+ * arrive with the first of these after the cut has healed. They are lost if their sender resets the connection. A
+ * connection that is opened during the cut is never established.
  */
 final class Link implements AutoCloseable {
     private static final long FIRST_RESEND_NANOS = 200_000_000L;
--- a/review/src-2/MissedLeaving.java
+++ b/review/src-2/MissedLeaving.java
@@ -1,5 +1,6 @@
 package org.lovagethread.review2;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -71,7 +72,8 @@
                     if (trouble) {
                         replace(store, leaving, added);
                         leaveNanos.set(System.nanoTime());
-                        recorder.line("the entry of " + leaving.id() + " has been removed, and " + added.id() + " added");
+                        recorder.line(
+                                "the entry of " + leaving.id() + " has been removed, and " + added.id() + " added");
                     }
                 } else if (kind.equals("servers") && !truncated) {
                     recorder.line("the store has answered the last page of the servers");
@@ -131,13 +133,14 @@
                     + (leaveNanos == 0 ? "" : ", " + afterMillis + " ms after its entry was removed"));
             late += afterMillis > DRAIN_MILLIS ? 1 : 0;
         }
-        recorder.line(late + " requests reached a server whose entry had been gone for more than " + DRAIN_MILLIS + " ms; "
+        recorder.line(late + " requests reached a server whose entry had been gone for more than " + DRAIN_MILLIS
+                + " ms; "
                 + lost + " of " + REQUESTS + " got no complete answer");
         return late > 0 ? Scenario.BROKEN : Scenario.HELD;
     }
 
     /** Returns the entry of a server of a service that gets no requests here. */
-    private static com.fasterxml.jackson.databind.JsonNode otherEntry(int number) {
+    private static JsonNode otherEntry(int number) {
         return Scenario.JSON
                 .createObjectNode()
                 .put("service", "pond-records")
--- a/review/src-2/StaleDutyCall.java
+++ b/review/src-2/StaleDutyCall.java
@@ -109,9 +109,7 @@
             for (int i = 0; !stopping.get(); i++) {
                 Node node = nodes.get(i % nodes.size());
                 Caller.Answer answer = Caller.post(node.host(), ports.front(), "/book/2f", "q-" + i);
-                if (i % 50 == 0) {
-                    recorder.line("request " + answer.requestId() + " at " + node.name() + ": " + answer.status());
-                }
+                recorder.line("request " + answer.requestId() + " at " + node.name() + ": " + answer.status());
                 try {
                     Thread.sleep(50);
                 } catch (InterruptedException e) {
