Read TROUBLE in each script of the second review

Cause: the scripts left TROUBLE to the program that they start, so nothing in their folders told of it; and a runtime that fails to start exits with 1, which a script must not report as a broken rule.

Change: each run.sh sets TROUBLE and turns the program's status into 1 for a broken rule, 0 if it held and 2 for anything else.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,7 +1,14 @@
 #!/usr/bin/env bash
 # Servers crash at a part of prompts with their first event written; exits with 1 if servers get too many requests with it.
+# Exit status 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+export TROUBLE="${TROUBLE:-1}"
 test -s target/deploy/node.args && test -d target/review-2 || exit 2
-exec timeout --signal=TERM 115 java -cp "target/review-2:target/deploy/lib/*" \
+timeout --signal=TERM 115 java -cp "target/review-2:target/deploy/lib/*" \
     org.lovagethread.review2.DeadlyPart review/8/record.txt event
+case $? in
+    0) exit 0 ;;
+    11) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/src-2/Scenario.java
+++ b/review/src-2/Scenario.java
@@ -17,6 +17,10 @@
     static final int HELD = 0;
     static final int BROKEN = 1;
     static final int NOT_RUN = 2;
+
+    /** Exit status for a broken rule, which differs from that of a runtime that fails; the scripts turn it into 1. */
+    private static final int EXIT_BROKEN = 11;
+
     static final ObjectMapper JSON = new ObjectMapper();
 
     private Scenario() {}
@@ -44,7 +48,7 @@
         if (result != NOT_RUN) {
             delete(folder);
         }
-        System.exit(result);
+        System.exit(result == BROKEN ? EXIT_BROKEN : result);
     }
 
     private static void delete(Path folder) throws IOException {
