Reset connections of calls that are given up

Cause: a call that had timed out closed its connection in order, which leaves its bytes with the operating system. It delivered them after the cut. DutyLease relies on calls that have ended with their term. Requests to upstreams, to the store and to peers that were given up had the same fault, and so had the calls of a process that is killed.

Ruled out: a call started after the deadline of the lease (it was sent 0.2 s into the cut), and a repetition by the sender (one call in its log).

Change: ClientBootstrap sets SO_LINGER to zero when it connects, so that each way of closing a connection, the end of the process included, drops what was not delivered. No other place decides it.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ClientBootstrap.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ClientBootstrap.java
@@ -6,8 +6,17 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 
-/** Creates bootstraps for connections that the gateway opens. */
+/**
+ * Creates bootstraps for connections that the gateway opens.
+ *
+ * <p>Closing such a connection resets it, also if the process ends, so that no bytes of a call outlast the call. After an
+ * orderly close, the operating system would go on sending what was not acknowledged, and a server could execute a request
+ * long after it was given up and repeated elsewhere.
+ */
 final class ClientBootstrap {
+    /** Value of {@code SO_LINGER}, in seconds, with which closing a connection resets it. */
+    private static final int RESET_ON_CLOSE = 0;
+
     /**
      * Number of buffers that are read from a connection before others are served. A server may send bytes faster than
      * they are decoded.
@@ -28,6 +37,7 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_LINGER, RESET_ON_CLOSE)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(
                         ChannelOption.RCVBUF_ALLOCATOR,
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lovagethread.gateway.SilenceTimeouts;
 
@@ -96,4 +97,48 @@
             assertThat(server.connections()).isEqualTo(1);
         }
     }
+
+    // After a cut, the platform received an order of a former lease holder that had timed out long before.
+    @Nested
+    class GivenUpCalls {
+        private void assertReset(String response, long timeoutMillis) throws Exception {
+            try (ScriptedServer server =
+                    new ScriptedServer((connection, request) -> ScriptedServer.Reply.keep(response))) {
+                CompletableFuture<Integer> status = new CompletableFuture<>();
+                loop.execute(
+                        () -> client.send(request(server, timeoutMillis), reply -> status.complete(reply.status())));
+                assertThat(status.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isZero();
+                assertThat(server.awaitClientEnding(TIMEOUT_MILLIS)).isEqualTo(ScriptedServer.ClientEnding.RESET);
+            }
+        }
+
+        @Test
+        void resetTheirConnectionAfterATimeout() throws Exception {
+            assertReset("", SHORT_TIMEOUT_MILLIS);
+        }
+
+        @Test
+        void resetTheirConnectionAfterAPartOfTheResponse() throws Exception {
+            assertReset("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", SHORT_TIMEOUT_MILLIS);
+        }
+
+        @Test
+        void resetTheirConnectionAfterAMalformedResponse() throws Exception {
+            assertReset("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", TIMEOUT_MILLIS);
+        }
+
+        @Test
+        void resetAKeptConnectionToo() throws Exception {
+            try (ScriptedServer server =
+                    new ScriptedServer((connection, request) -> ScriptedServer.Reply.keep(request > 1 ? "" : FRESH))) {
+                CompletableFuture<Integer> status = new CompletableFuture<>();
+                loop.execute(() -> client.send(
+                        request(server),
+                        first -> client.send(
+                                request(server, SHORT_TIMEOUT_MILLIS), second -> status.complete(second.status()))));
+                assertThat(status.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isZero();
+                assertThat(server.awaitClientEnding(TIMEOUT_MILLIS)).isEqualTo(ScriptedServer.ClientEnding.RESET);
+            }
+        }
+    }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ScriptedServer.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ScriptedServer.java
@@ -9,6 +9,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server whose responses to requests without bodies are determined by the test, byte by byte. */
@@ -16,6 +18,7 @@
     private final ServerSocket socket;
     private final Script script;
     private final AtomicInteger connections = new AtomicInteger();
+    private final CompletableFuture<ClientEnding> firstClientEnding = new CompletableFuture<>();
 
     /** Determines what is written after each request. */
     interface Script {
@@ -36,6 +39,12 @@
         RESET
     }
 
+    /** How a client ended a connection. */
+    enum ClientEnding {
+        CLOSED,
+        RESET
+    }
+
     record Reply(String bytes, Ending ending) {
         static Reply keep(String bytes) {
             return new Reply(bytes, Ending.KEEP);
@@ -57,6 +66,11 @@
         return connections.get();
     }
 
+    /** Returns how a client ended a connection for the first time. */
+    ClientEnding awaitClientEnding(long timeoutMillis) throws Exception {
+        return firstClientEnding.get(timeoutMillis, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
@@ -92,8 +106,9 @@
                     return;
                 }
             }
+            firstClientEnding.complete(ClientEnding.CLOSED);
         } catch (IOException e) {
-            // The client has closed the connection.
+            firstClientEnding.complete(ClientEnding.RESET);
         }
     }
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -50,7 +50,7 @@
         return withId(SUCCESS, id) + "ok";
     }
 
-    private static void send(
+    private static UpstreamClient.RequestHandle send(
             NettyUpstreamClient client, ScriptedServer server, String id, UpstreamClient.Listener listener) {
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
         request.headers().set("X-Request-Id", id);
@@ -64,7 +64,7 @@
                 false,
                 false,
                 1);
-        client.send(upstream, request, request.headers(), Unpooled.EMPTY_BUFFER, false, listener);
+        return client.send(upstream, request, request.headers(), Unpooled.EMPTY_BUFFER, false, listener);
     }
 
     /** Records the response as one line of text. */
@@ -234,6 +234,44 @@
         }
     }
 
+    // A request that was given up in a cut reached its upstream after the cut, when another had already answered it.
+    @Nested
+    class GivenUpRequests {
+        private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+        private final EventLoop loop = group.next();
+        private final NettyUpstreamClient client =
+                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
+
+        @AfterEach
+        void stop() {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+
+        private void assertReset(String response) throws Exception {
+            CompletableFuture<Void> received = new CompletableFuture<>();
+            try (ScriptedServer server = new ScriptedServer((connection, request) -> {
+                received.complete(null);
+                return ScriptedServer.Reply.keep(response);
+            })) {
+                CompletableFuture<UpstreamClient.RequestHandle> handle = new CompletableFuture<>();
+                loop.execute(() -> handle.complete(send(client, server, "a", new RecordingListener())));
+                received.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                loop.execute(handle.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)::cancel);
+                assertThat(server.awaitClientEnding(TIMEOUT_MILLIS)).isEqualTo(ScriptedServer.ClientEnding.RESET);
+            }
+        }
+
+        @Test
+        void resetTheirConnectionBeforeTheResponse() throws Exception {
+            assertReset("");
+        }
+
+        @Test
+        void resetTheirConnectionInAStream() throws Exception {
+            assertReset(withId("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "a") + "3\r\nabc\r\n");
+        }
+    }
+
     @Nested
     class Reuse {
         private final NioEventLoopGroup group = new NioEventLoopGroup(1);
