Let the bytes of a head decide whether it is one

Cause: the library's decoder accepts what is no head and returns something else than was sent: any number is a status, control characters before the status line are skipped, a name ends at a blank, a line that begins with a blank continues the one before, and Transfer-Encoding may stand beside a length. Later checks can't tell any more.

Ruled out: joined responses (status 000 alone on a new connection was passed on).

Change: ResponseHeadValidator decides on the bytes, for the connections to upstreams, the store, the API and peers, also for skipped and informational answers. It takes over the check for joined heads. The log names the defect.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ResponseDecoder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ResponseDecoder.java
@@ -4,15 +4,19 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
-import java.util.Map;
-import java.util.regex.Pattern;
+import java.util.Optional;
 
 /**
  * Decodes the responses on a client connection, and closes the connection if bytes arrive that belong to no response.
@@ -23,8 +27,8 @@
  * the status line inside it.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}(?: |$)");
-
+    private final ResponseHeadValidator head = new ResponseHeadValidator();
+    private boolean inHead;
     private boolean responseExpected;
     private boolean bodyExpected;
     private boolean surplusReceived;
@@ -46,6 +50,7 @@
     void expectResponse(HttpMethod method) {
         responseExpected = true;
         bodyExpected = !method.equals(HttpMethod.HEAD);
+        startHead();
     }
 
     /** Allows no more bytes until the next request. Must be called when the end of the final response is received. */
@@ -66,34 +71,56 @@
             ctx.close();
             return;
         }
+        int start = in.readerIndex();
         super.decode(ctx, in, out);
-        for (Object decoded : out) {
-            if (decoded instanceof HttpResponse response && isJoined(response)) {
-                response.setDecoderResult(
-                        DecoderResult.failure(new CorruptedFrameException("the head contains another status line")));
+        if (inHead) {
+            Optional<String> defect = head.findDefect(in.slice(start, in.readerIndex() - start));
+            if (defect.isPresent()) {
+                rejectHead(defect.get(), in, out);
+                return;
             }
         }
+        out.forEach(this::follow);
     }
 
-    @Override
-    protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return !bodyExpected || super.isContentAlwaysEmpty(message);
+    /** Follows whether the next bytes belong to a head; the decoder never reads beyond the end of a head at once. */
+    private void follow(Object decoded) {
+        inHead = inHead && !(decoded instanceof HttpResponse);
+        if (decoded instanceof LastHttpContent) {
+            startHead();
+        }
     }
 
-    private static boolean isJoined(HttpResponse response) {
-        return containsStatusLine(response.status().reasonPhrase()) || containsStatusLine(response.headers());
+    private void startHead() {
+        inHead = true;
+        head.reset();
     }
 
-    private static boolean containsStatusLine(HttpHeaders headers) {
-        for (Map.Entry<String, String> header : headers) {
-            if (containsStatusLine(header.getValue())) {
-                return true;
-            }
-        }
-        return false;
+    /** Passes a response on that only tells why there is none. No other may follow it. */
+    private void rejectHead(String defect, ByteBuf in, List<Object> out) {
+        out.clear();
+        in.skipBytes(in.readableBytes());
+        responseExpected = false;
+        HttpResponse rejected = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
+        rejected.setDecoderResult(DecoderResult.failure(new CorruptedFrameException(defect)));
+        out.add(rejected);
     }
 
-    private static boolean containsStatusLine(String text) {
-        return STATUS_LINE.matcher(text).find();
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("response has both Content-Length and Transfer-Encoding");
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        List<String> encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean chunkedOnly = encodings.isEmpty()
+                || (encodings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                encodings.get(0).strip()));
+        if (!chunkedOnly) {
+            throw new IllegalArgumentException("response has a transfer encoding other than chunked");
+        }
+        return !bodyExpected || super.isContentAlwaysEmpty(message);
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -160,7 +161,7 @@
             if (listener == null) {
                 discard();
             } else if (((HttpObject) object).decoderResult().isFailure()) {
-                fail("malformed response");
+                fail(describe(((HttpObject) object).decoderResult().cause()));
             } else {
                 process(object);
             }
@@ -169,6 +170,13 @@
         }
     }
 
+    /** Returns a reason for the log; messages of other exceptions may contain any bytes of the response. */
+    private static String describe(Throwable cause) {
+        return cause instanceof CorruptedFrameException
+                ? "malformed response: " + cause.getMessage()
+                : "malformed response";
+    }
+
     private void process(Object object) {
         if (object instanceof HttpResponse response) {
             onHeader(response);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lovagethread.gateway.SilenceTimeouts;
 
 class PooledHttpClientTest {
@@ -98,6 +100,22 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA b: c\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA\u0001: c\r\n\r\n"
+            })
+    void doesNotTakeAMalformedHeadForAResponse(String response) throws Exception {
+        try (ScriptedServer server = new ScriptedServer((connection, request) -> ScriptedServer.Reply.keep(response))) {
+            CompletableFuture<PooledHttpClient.Response> received = new CompletableFuture<>();
+            loop.execute(() -> client.send(request(server), received::complete));
+            assertThat(received.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
+                    .isEqualTo(new PooledHttpClient.Response(0, true, ByteString.EMPTY));
+        }
+    }
+
     // After a cut, the platform received an order of a former lease holder that had timed out long before.
     @Nested
     class GivenUpCalls {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
@@ -37,6 +38,11 @@
 class UpstreamConnectionTest {
     private static final long TIMEOUT_MILLIS = 5_000;
     private static final long MAX_IDLE_MILLIS = 4_000;
+
+    /** Size of an upload that does not fit into the buffers of the operating system. */
+    private static final int UPLOAD_BYTES = 32 * 1024 * 1024;
+
+    private static final int UPLOADS = 20;
     private static final String REFUSAL = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n";
     private static final String SUCCESS = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
 
@@ -52,6 +58,15 @@
 
     private static UpstreamClient.RequestHandle send(
             NettyUpstreamClient client, ScriptedServer server, String id, UpstreamClient.Listener listener) {
+        return upload(client, server, id, 0, listener);
+    }
+
+    private static UpstreamClient.RequestHandle upload(
+            NettyUpstreamClient client,
+            ScriptedServer server,
+            String id,
+            int bodyBytes,
+            UpstreamClient.Listener listener) {
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
         request.headers().set("X-Request-Id", id);
         UpstreamEntry upstream = new UpstreamEntry(
@@ -64,7 +79,8 @@
                 false,
                 false,
                 1);
-        return client.send(upstream, request, request.headers(), Unpooled.EMPTY_BUFFER, false, listener);
+        return client.send(
+                upstream, request, request.headers(), Unpooled.wrappedBuffer(new byte[bodyBytes]), false, listener);
     }
 
     /** Records the response as one line of text. */
@@ -439,6 +455,54 @@
             assertThat(outcomeOf(response, ScriptedServer.Ending.CLOSE)).endsWith("failed");
         }
 
+        // An answer with status 000, or with a blank or a control character in a field's name, was taken for a
+        // response.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n|",
+                    "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n|",
+                    "HTTP/1.1 101 Switching Protocols\r\n|",
+                    "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n|",
+                    "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n|",
+                    "HTTP/1.1 200 OK\r\nContent-Length x: 1\r\n|",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA b: c\r\n|",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA\0: c\r\n|",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: c\u0001\r\n|",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: b\r\n c\r\n|",
+                    "HTTP/1.1 200 OK\r\n Content-Length: 2\r\n|",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nno field\r\n|",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1\r\n|",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n|2\r\n",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n|2\r\n",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n|",
+                    "HTTP/1.1 102 Processing\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n|"
+                })
+        void rejectsResponseWithAMalformedHead(String headAndBody) throws Exception {
+            String[] parts = headAndBody.split("\\|", -1);
+            String response = withId(parts[0], "a") + parts[1] + "ok";
+            assertThat(outcomeOf(response, ScriptedServer.Ending.CLOSE)).isEqualTo("failed");
+            assertThat(outcomeOf(response, ScriptedServer.Ending.KEEP)).isEqualTo("failed");
+        }
+
+        // A part of an answer without a length could be taken for all of it, when its connection broke under an upload.
+        @ParameterizedTest
+        @EnumSource(
+                value = ScriptedServer.Ending.class,
+                names = {"CLOSE", "RESET"})
+        void rejectsResponseThatEndsWithItsConnectionDuringTheUpload(ScriptedServer.Ending ending) throws Exception {
+            for (int i = 0; i < UPLOADS; i++) {
+                RecordingListener listener = new RecordingListener();
+                String response = withId("HTTP/1.1 200 OK\r\n", "a") + "part";
+                try (ScriptedServer server =
+                        new ScriptedServer((connection, request) -> new ScriptedServer.Reply(response, ending))) {
+                    loop.execute(() -> upload(client, server, "a", UPLOAD_BYTES, listener));
+                    assertThat(listener.outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
+                            .endsWith("failed");
+                }
+            }
+        }
+
         private static Stream<Arguments> truncatedHeads() {
             return Stream.of("Content-Length: 0\r\n", "Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "")
                     .map(framing -> withId("HTTP/1.1 200 OK\r\nproof: 1\r\n" + framing, "a"))
