Bound the work that one response causes in a turn of the event loop

Cause: a block of lines counted as an event whatever it held, so the limit of bytes without an event was never reached; and one read of 64 KiB could hold 32,768 events, each of which was copied, split and written by itself.

Change: an event has a numeric identifier or data; other lines stay in front of the next one (EventSplitter). At most 4 KiB are read from a connection in one turn (ClientBootstrap), for upstreams, the store, the API and peers. The events of one read are written as one chunk (ResponseWriter.flushStream).

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptListener.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptListener.java
@@ -40,6 +40,11 @@
         runIfCurrent(() -> exchange.onData(bytes));
     }
 
+    @Override
+    public void onReadComplete() {
+        runIfCurrent(exchange::onReadComplete);
+    }
+
     @Override
     public void onEnd() {
         runIfCurrent(exchange::onEnd);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -49,6 +49,7 @@
     private HttpRequest request;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Exchange exchange;
+    private ByteBuf unsentStreamData = Unpooled.EMPTY_BUFFER;
     private boolean responding;
     private boolean streaming;
     private boolean closing;
@@ -78,6 +79,8 @@
             exchange = null;
             abandoned.onCallerDisconnected();
         }
+        unsentStreamData.release();
+        unsentStreamData = Unpooled.EMPTY_BUFFER;
         releaseBody();
     }
 
@@ -325,16 +328,27 @@
     }
 
     @Override
-    public boolean sendStreamData(ByteBuf bytes) {
+    public void addStreamData(ByteBuf bytes) {
         requireStreaming(true);
-        channel.writeAndFlush(new DefaultHttpContent(
-                channel.alloc().buffer(bytes.readableBytes()).writeBytes(bytes)));
+        if (unsentStreamData.capacity() == 0) {
+            unsentStreamData = channel.alloc().buffer(bytes.readableBytes());
+        }
+        unsentStreamData.writeBytes(bytes);
+    }
+
+    @Override
+    public boolean flushStream() {
+        requireStreaming(true);
+        if (unsentStreamData.isReadable()) {
+            channel.writeAndFlush(new DefaultHttpContent(unsentStreamData));
+            unsentStreamData = Unpooled.EMPTY_BUFFER;
+        }
         return channel.isWritable();
     }
 
     @Override
     public void endStream() {
-        requireStreaming(true);
+        flushStream();
         streaming = false;
         setResetOnClose(false);
         boolean closeAnnounced = closing;
@@ -347,6 +361,9 @@
 
     @Override
     public void abort() {
+        if (streaming) {
+            flushStream();
+        }
         closing = true;
         exchange = null;
         channel.close();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ClientBootstrap.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ClientBootstrap.java
@@ -18,10 +18,15 @@
     private static final int RESET_ON_CLOSE = 0;
 
     /**
-     * Number of buffers that are read from a connection before others are served. A server may send bytes faster than
-     * they are decoded.
+     * Maximum number of bytes that are read from a connection before others are served, which bounds the work that one
+     * response causes in one turn of the event loop. A server may send bytes faster than they are processed, and each may
+     * be a part of its own.
      */
+    static final int MAX_BYTES_PER_TURN = 4_096;
+
     private static final int READS_PER_TURN = 1;
+    private static final int MIN_BUFFER_BYTES = 64;
+    private static final int INITIAL_BUFFER_BYTES = 2_048;
 
     private ClientBootstrap() {}
 
@@ -41,6 +46,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(
                         ChannelOption.RCVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS_PER_TURN));
+                        new AdaptiveRecvByteBufAllocator(MIN_BUFFER_BYTES, INITIAL_BUFFER_BYTES, MAX_BYTES_PER_TURN)
+                                .maxMessagesPerRead(READS_PER_TURN));
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/EventSplitter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/EventSplitter.java
@@ -4,25 +4,29 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 
-/** Splits a stream of server-sent events into single events. */
+/**
+ * Splits a stream of server-sent events into single events.
+ *
+ * <p>An event has a numeric identifier or data, and ends with a blank line. Other lines (blank ones, comments, empty and
+ * unknown fields) tell a caller nothing by themselves. They are kept in front of the event that follows, so a stream that
+ * consists of them alone has no events, and its bytes count as data without an event.
+ */
 final class EventSplitter {
     /** Maximum size of one event, in bytes. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
+    private static final long NO_ID = -1;
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
     private final ByteBuf pending = Unpooled.buffer(512);
+    private int lineStart;
     private int searchedBytes;
-    private LinePosition position = LinePosition.INSIDE;
-
-    /** Where the search for the end of the pending event has got to; the first line of an event is never its last. */
-    private enum LinePosition {
-        INSIDE,
-        START,
-        AFTER_CARRIAGE_RETURN
-    }
+    private boolean endsWithBlankLine;
+    private long id = NO_ID;
+    private boolean hasData;
 
     /**
      * Receives complete events.
@@ -45,11 +49,13 @@
      */
     void feed(ByteBuf bytes, EventConsumer consumer) {
         pending.writeBytes(bytes);
-        int end = findEndOfEvent();
-        while (end >= 0) {
-            ByteBuf event = pending.readSlice(end - pending.readerIndex());
-            consumer.accept(parseId(event), event);
-            end = findEndOfEvent();
+        int lineEnd = findEndOfLine();
+        while (lineEnd >= 0) {
+            readLine(lineEnd);
+            if (endsWithBlankLine && (hasData || id >= 0)) {
+                takeEvent(consumer);
+            }
+            lineEnd = findEndOfLine();
         }
         pending.discardSomeReadBytes();
     }
@@ -57,10 +63,19 @@
     /**
      * Returns whether the bytes received so far end in the middle of an event.
      *
-     * @return true if an incomplete event is buffered
+     * @return true if an incomplete event is buffered, or lines that no blank line follows
      */
     boolean hasPartialEvent() {
-        return pending.isReadable();
+        return pending.isReadable() && !endsAtBlankLine();
+    }
+
+    /**
+     * Returns the lines behind the last event, which a stream may end with.
+     *
+     * @return the buffered bytes, valid until the next call of {@link #feed}
+     */
+    ByteBuf remainder() {
+        return pending.slice();
     }
 
     /**
@@ -72,42 +87,62 @@
         return pending.readableBytes();
     }
 
-    /** Returns the index behind the first event, or a negative number. Each byte is examined only once. */
-    private int findEndOfEvent() {
-        int from = pending.readerIndex() + searchedBytes;
-        int last = pending.forEachByte(from, pending.writerIndex() - from, this::isInsideEvent);
-        searchedBytes = last < 0 ? pending.readableBytes() : 0;
-        return last < 0 ? -1 : last + 1;
+    private boolean endsAtBlankLine() {
+        return endsWithBlankLine && lineStart == pending.readableBytes();
     }
 
-    /** Returns whether an event goes on after a byte. It ends with a line that is empty but for a carriage return. */
-    private boolean isInsideEvent(byte next) {
-        boolean eventEnds = next == LINE_FEED && position != LinePosition.INSIDE;
-        if (next == LINE_FEED && !eventEnds) {
-            position = LinePosition.START;
-        } else if (next == CARRIAGE_RETURN && position == LinePosition.START) {
-            position = LinePosition.AFTER_CARRIAGE_RETURN;
-        } else {
-            position = LinePosition.INSIDE;
+    /** Returns the index of the next line feed, or a negative number. Each byte is examined only once. */
+    private int findEndOfLine() {
+        int lineEnd = pending.indexOf(pending.readerIndex() + searchedBytes, pending.writerIndex(), LINE_FEED);
+        searchedBytes = lineEnd < 0 ? pending.readableBytes() : lineEnd + 1 - pending.readerIndex();
+        return lineEnd;
+    }
+
+    private void readLine(int lineEnd) {
+        int start = pending.readerIndex() + lineStart;
+        boolean hasCarriageReturn = lineEnd > start && pending.getByte(lineEnd - 1) == CARRIAGE_RETURN;
+        int end = hasCarriageReturn ? lineEnd - 1 : lineEnd;
+        lineStart = searchedBytes;
+        endsWithBlankLine = end == start;
+        if (hasPrefix(ID_FIELD, start, end)) {
+            id = parseNumber(text(start + ID_FIELD.length, end));
+        } else if (hasPrefix(DATA_FIELD, start, end)) {
+            hasData = hasData || !text(start + DATA_FIELD.length, end).isEmpty();
         }
-        return !eventEnds;
     }
 
-    private static long parseId(ByteBuf event) {
-        long id = -1;
-        for (String line : event.toString(StandardCharsets.UTF_8).split("\n", -1)) {
-            if (line.startsWith(ID_FIELD)) {
-                id = parseNumber(line.substring(ID_FIELD.length()).strip());
+    private boolean hasPrefix(byte[] prefix, int start, int end) {
+        if (end - start < prefix.length) {
+            return false;
+        }
+        for (int i = 0; i < prefix.length; i++) {
+            if (pending.getByte(start + i) != prefix[i]) {
+                return false;
             }
         }
-        return id;
+        return true;
+    }
+
+    private String text(int start, int end) {
+        return pending.toString(start, end - start, StandardCharsets.UTF_8).strip();
+    }
+
+    private void takeEvent(EventConsumer consumer) {
+        ByteBuf event = pending.readSlice(lineStart);
+        long eventId = id;
+        lineStart = 0;
+        searchedBytes = 0;
+        endsWithBlankLine = false;
+        id = NO_ID;
+        hasData = false;
+        consumer.accept(eventId, event);
     }
 
     private static long parseNumber(String text) {
         try {
             return Long.parseLong(text);
         } catch (NumberFormatException e) {
-            return -1;
+            return NO_ID;
         }
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -366,7 +366,16 @@
         }
         lastEventNumbered = id >= 0;
         lastEventId = id >= 0 ? id : lastEventId;
-        if (!caller.sendStreamData(event) && attempt != null && attempt.handle != null) {
+        caller.addStreamData(event);
+    }
+
+    @Override
+    public void onReadComplete() {
+        flushStream();
+    }
+
+    private void flushStream() {
+        if (streamStarted && !caller.flushStream() && attempt != null && attempt.handle != null) {
             readingPaused = true;
             attempt.handle.setReading(false);
         }
@@ -396,6 +405,7 @@
             caller.startStream(attempt.response.status(), attempt.response.headers());
             streamStarted = true;
         }
+        caller.addStreamData(attempt.eventSplitter.remainder());
         caller.endStream();
         finish("answered", nowMillis);
     }
@@ -420,6 +430,7 @@
     private void endFailedAttempt(AttemptOutcome outcome, String reason, long nowMillis) {
         possibleRuns += outcome.mayHaveRun() ? 1 : 0;
         record.recordFailure(outcome, reason, nowMillis);
+        flushStream();
         endAttempt();
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ResponseWriter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ResponseWriter.java
@@ -33,16 +33,26 @@
     void startStream(HttpResponseStatus status, HttpHeaders headers);
 
     /**
-     * Sends a part of a streaming response.
+     * Adds a part to a streaming response. It is sent by the next call of {@link #flushStream}, {@link #endStream} or
+     * {@link #abort}, together with the others that were added.
      *
      * @param bytes the bytes; they are copied
+     */
+    void addStreamData(ByteBuf bytes);
+
+    /**
+     * Sends the parts that were added to a streaming response.
+     *
      * @return false if the send buffer is full and the stream should be paused
      */
-    boolean sendStreamData(ByteBuf bytes);
+    boolean flushStream();
 
     /** Completes a streaming response. */
     void endStream();
 
-    /** Closes the connection, which shows the caller that the streaming response is incomplete. */
+    /**
+     * Closes the connection after the parts that were added, which shows the caller that the streaming response is
+     * incomplete.
+     */
     void abort();
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamClient.java
@@ -28,6 +28,9 @@
          */
         void onData(ByteBuf bytes);
 
+        /** Called after {@link #onData} when all bytes that have been read from the connection are processed. */
+        void onReadComplete();
+
         /** Called when the response is complete. */
         void onEnd();
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -289,6 +289,9 @@
     /** Returns the connection to the pool only now, so that bytes received together with the response are detected. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (listener != null) {
+            listener.onReadComplete();
+        }
         if (returningToPool) {
             returningToPool = false;
             if (isUsable()) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lovagethread.gateway.SilenceTimeouts;
 import org.lovagethread.gateway.config.RouteKind;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
@@ -88,6 +90,9 @@
             @Override
             public void onData(ByteBuf bytes) {}
 
+            @Override
+            public void onReadComplete() {}
+
             @Override
             public void onEnd() {
                 failure.complete("");
@@ -191,6 +196,40 @@
             });
         }
 
+        // Blank lines counted as events without end, each of which was written to the caller on its own.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "\n",
+                    "\r\n",
+                    "\r",
+                    ":\n",
+                    ": comment\n\n",
+                    ":\r\n\r\n",
+                    "data\n\n",
+                    "data:\n\n",
+                    "data: \r\n\r\n",
+                    "id\n\n",
+                    "id:\n\n",
+                    "id: x\n\n",
+                    "event\n\n",
+                    "event: ping\n\n",
+                    "retry: 1\n\n",
+                    "x\n\n",
+                    "\0\n\n"
+                })
+        void isGivenUpInLinesWithoutAnEvent(String lines) {
+            FakeExchangeContext context = new FakeExchangeContext(1);
+            context.start(RouteKind.EVENT_STREAM, false, 1);
+            FakeExchangeContext.FakeAttempt attempt = context.lastAttempt();
+            attempt.sendHeader(200, FakeExchangeContext.PROOF);
+            attempt.sendData("id: 1\ndata: a\n\n");
+            sendUntilCancelled(attempt, lines);
+            assertThat(attempt.cancelled).isTrue();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\n");
+            assertThat(context.response).isEqualTo("200 stream aborted");
+        }
+
         @Test
         void isGivenUpInRepeatedEvents() {
             FakeExchangeContext context = new FakeExchangeContext(1);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -103,6 +103,9 @@
             received += bytes.toString(StandardCharsets.US_ASCII);
         }
 
+        @Override
+        public void onReadComplete() {}
+
         @Override
         public void onEnd() {
             outcome.complete(received.strip());
