Keep the evidence against prompt parts in the store

Cause: quarantines and the crashes behind them were in memory only and were learned from peers; nothing outlived all processes.

Change: PromptEvidenceStore keeps the evidence against suspected and quarantined parts in one object of the store. Each process reads it once after its start. The holder of the lease writes it when it has changed, at most once a second, and twice in the time of a quarantine. Writes depend on the object's revision; on a conflict the other evidence is taken over first.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -92,6 +92,7 @@
     private final StateSync sync;
     private final DutyLease lease;
     private final UsageReporter usageReporter;
+    private final PromptEvidenceStore promptEvidence;
     private final FleetManager fleetManager;
     private final NettyUpstreamClient upstreamClient;
     private final CallerServer callerServer;
@@ -155,6 +156,8 @@
                 this::nowMillis,
                 lease::fencingToken,
                 log);
+        this.promptEvidence = new PromptEvidenceStore(
+                ports.store(), promptQuarantine, this::nowMillis, this::clusterMillis, sync::recordCall, log);
         this.fleetManager =
                 new FleetManager(ports.duties(), upstreams, engineModels, this::nowMillis, lease::fencingToken, log);
         fleetManager.followDemand(service -> zoneTraffic.demandByZone(service, nowMillis()));
@@ -271,6 +274,7 @@
             rollouts.tick(nowMillis);
             crashReporter.report(promptQuarantine.evaluate(upstreams, nowMillis), nowMillis);
             crashReporter.report(promptQuarantine.crashLog(), nowMillis);
+            promptEvidence.tick(lease.fencingToken().isPresent());
             pauseReporter.tick(upstreams, nowMillis);
             configuration().ifPresent(current -> fleetManager.tick(current, quota.tokensPerSecond(nowMillis)));
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptQuarantine.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptQuarantine.java
@@ -183,6 +183,23 @@
         return limited(combine(isIncluded, nowMillis));
     }
 
+    /**
+     * Returns the evidence that must outlive all gateways: that against the parts that are suspected or quarantined.
+     *
+     * @param nowMillis the current time in milliseconds
+     * @return the evidence of all gateways, as of the latest evaluation
+     */
+    public PromptEvidence durableEvidence(long nowMillis) {
+        Set<String> parts = new HashSet<>(suspected);
+        parts.addAll(active.keySet());
+        Map<String, Set<Integer>> suspects = new HashMap<>(total.suspects());
+        suspects.keySet().retainAll(parts);
+        Map<String, Long> answers = new HashMap<>(total.firstEvents());
+        answers.keySet().retainAll(parts);
+        Map<Integer, CrashTime> crashes = parts.isEmpty() ? Map.of() : total.crashes();
+        return limited(new PromptEvidence(crashes, suspects, answers, active, refutedCrashes).unexpired(nowMillis));
+    }
+
     /**
      * Evaluates the evidence.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectKind.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectKind.java
@@ -8,7 +8,10 @@
     UPSTREAMS,
     /** Registrations of gateways. */
     GATEWAYS,
-    /** The duty lease, usage reports, which are stored before they are sent, and decisions about rollouts. */
+    /**
+     * The duty lease, usage reports, which are stored before they are sent, decisions about rollouts, and the evidence
+     * against prompt parts.
+     */
     DUTIES,
     /** Orders of operators to move the traffic of a service to another version; gateways write their status. */
     ROLLOUTS
