Let only a complete response prove that a prompt part is sound

Cause: a first event counted as proof. It cleared the part of all crashes, ended a quarantine, and kept the request out of the crash that interrupted it. Complete plain responses weren't counted, and a stream that ended inside an event was no crash.

Change: one rule, LatestResponses.clears: a response clears its parts of a crash if it got further than the interrupted one. Gateways exchange which interrupted responses had begun (wire: begun_crashes, interrupted_parts, completed_age_millis; messages without them read as before). FirstEventLog is now ResponseLog.

ExchangeTest.areReleasedWhenAResponseBegins asserted the fault. It is replaced by four tests: complete streams and plain responses release, events and interrupted responses don't. In CrashLogTest the parts of a begun response now belong to the crash, and the former list is asserted as the unanswered ones.

QueryOfDeathTest has 14 new plays of crashes 1 to 2,900 ms after the first event and 6 without a deadly part.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
@@ -59,7 +59,7 @@
 
     /** Records the first event of a stream. */
     void recordFirstEvent(Attempt attempt, long nowMillis) {
-        context.promptQuarantine().recordFirstEvent(service.name(), prefix, nowMillis);
+        context.promptQuarantine().recordBeginning(service.name(), prefix, nowMillis);
         attempt.upstream.load().recordFirstEvent(attempt.choice.unreadTokens());
         attempt.endExpectation();
         long millis = nowMillis - attempt.sentMillis;
@@ -78,6 +78,7 @@
     /** Records that a stream ended completely. */
     void recordStreamEnd(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
+        context.promptQuarantine().recordCompletion(service.name(), prefix, nowMillis);
         if (service.engine().isPresent() && attempt.firstEventReceived) {
             SpeedRecorder.recordStream(model(), attempt.upstream, nowMillis - attempt.firstEventMillis, nowMillis);
         }
@@ -86,6 +87,7 @@
     /** Records a complete successful response that is not a stream. */
     void recordSuccess(Attempt attempt, long nowMillis) {
         attempt.upstream.failureDetector().recordOutcome(true, nowMillis);
+        context.promptQuarantine().recordCompletion(service.name(), prefix, nowMillis);
         if (service.engine().isEmpty()) {
             recordPlainResponse(attempt, nowMillis - attempt.sentMillis, nowMillis);
         } else {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CrashReporter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CrashReporter.java
@@ -57,8 +57,8 @@
                     .put("requests", crash.brokenRequests())
                     .put("unanswered", crash.unansweredRequests())
                     .put(
-                            "unanswered_parts",
-                            crash.unansweredParts().stream().limit(MAX_PARTS).collect(Collectors.joining(" ")))
+                            "parts",
+                            crash.interruptedParts().stream().limit(MAX_PARTS).collect(Collectors.joining(" ")))
                     .put("omitted_before", lines.resetOmitted()));
         }
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -391,6 +391,7 @@
 
     private void endStream(long nowMillis) {
         if (attempt.eventSplitter.hasPartialEvent()) {
+            recorder.recordBreak(attempt, nowMillis);
             onAttemptFailed(AttemptOutcome.BROKEN, "stream ended in the middle of an event", nowMillis);
             return;
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PromptEvidenceCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PromptEvidenceCodec.java
@@ -1,6 +1,8 @@
 package org.lovagethread.gateway.http;
 
 import java.util.HashSet;
+import java.util.Set;
+import org.lovagethread.gateway.policy.LatestResponses;
 import org.lovagethread.gateway.policy.PromptEvidence;
 import org.lovagethread.gateway.policy.PromptEvidence.CrashTime;
 import org.lovagethread.gateway.policy.PromptEvidence.Quarantine;
@@ -33,14 +35,15 @@
                         .setId(id)
                         .setAgeMillis(nowMillis - crash.atMillis())
                         .setServiceHash(crash.serviceHash())
+                        .setInterruptedParts(crash.interruptedParts())
                         .setUnansweredParts(crash.unansweredParts())
                         .setLongestWaitMillis(crash.longestWaitMillis())));
         evidence.suspects()
-                .forEach((part, crashes) -> message.addSuspects(
-                        SuspectedPart.newBuilder().setPart(part).addAllCrashes(crashes)));
-        evidence.firstEvents()
-                .forEach((part, millis) -> message.addAnsweredParts(
-                        AnsweredPart.newBuilder().setPart(part).setAgeMillis(nowMillis - millis)));
+                .forEach((part, crashes) -> message.addSuspects(SuspectedPart.newBuilder()
+                        .setPart(part)
+                        .addAllCrashes(crashes)
+                        .addAllBegunCrashes(evidence.begun().getOrDefault(part, Set.of()))));
+        evidence.responses().forEach((part, latest) -> message.addAnsweredParts(encode(part, latest, nowMillis)));
         evidence.quarantines()
                 .forEach((part, quarantine) -> message.addQuarantinedParts(QuarantinedPart.newBuilder()
                         .setPart(part)
@@ -49,6 +52,23 @@
         return message.build();
     }
 
+    private static AnsweredPart.Builder encode(String part, LatestResponses latest, long nowMillis) {
+        AnsweredPart.Builder answered =
+                AnsweredPart.newBuilder().setPart(part).setAgeMillis(nowMillis - latest.begunMillis());
+        if (latest.completedMillis() != LatestResponses.NEVER) {
+            answered.setCompletedAgeMillis(nowMillis - latest.completedMillis());
+        }
+        return answered;
+    }
+
+    private static LatestResponses decode(AnsweredPart answered, long nowMillis) {
+        return new LatestResponses(
+                nowMillis - Math.max(0, answered.getAgeMillis()),
+                answered.hasCompletedAgeMillis()
+                        ? nowMillis - Math.max(0, answered.getCompletedAgeMillis())
+                        : LatestResponses.NEVER);
+    }
+
     /**
      * Decodes evidence.
      *
@@ -66,14 +86,18 @@
                             new CrashTime(
                                     atMillis,
                                     crash.getServiceHash(),
+                                    crash.getInterruptedParts(),
                                     crash.getUnansweredParts(),
                                     Math.max(0, crash.getLongestWaitMillis())));
         }
         for (SuspectedPart suspect : message.getSuspectsList()) {
             evidence.suspects().put(suspect.getPart(), new HashSet<>(suspect.getCrashesList()));
+            if (suspect.getBegunCrashesCount() > 0) {
+                evidence.begun().put(suspect.getPart(), new HashSet<>(suspect.getBegunCrashesList()));
+            }
         }
         for (AnsweredPart answered : message.getAnsweredPartsList()) {
-            evidence.firstEvents().put(answered.getPart(), nowMillis - Math.max(0, answered.getAgeMillis()));
+            evidence.responses().put(answered.getPart(), decode(answered, nowMillis));
         }
         for (QuarantinedPart quarantined : message.getQuarantinedPartsList()) {
             long remainingMillis = Math.min(PromptQuarantine.QUARANTINE_MILLIS, quarantined.getRemainingMillis());
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PromptEvidenceStore.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PromptEvidenceStore.java
@@ -206,6 +206,11 @@
                         part,
                         new Quarantine(quarantined.sinceMillis(), nowMillis + PromptQuarantine.QUARANTINE_MILLIS)));
         return new PromptEvidence(
-                evidence.crashes(), evidence.suspects(), evidence.firstEvents(), renewed, evidence.refutedCrashes());
+                evidence.crashes(),
+                evidence.suspects(),
+                evidence.begun(),
+                evidence.responses(),
+                renewed,
+                evidence.refutedCrashes());
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrashLog.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrashLog.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToLongFunction;
+import java.util.function.Function;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -37,7 +37,9 @@
     public static final class Crash {
         private final UpstreamEntry upstream;
         private final long atMillis;
-        private final Set<String> unansweredParts = new LinkedHashSet<>();
+        private final Set<String> interruptedParts = new LinkedHashSet<>();
+        private final Set<String> unansweredParts = new HashSet<>();
+        private final Set<String> begunParts = new HashSet<>();
         private final Set<String> exoneratedParts = new HashSet<>();
         private int brokenRequests;
         private int unansweredRequests;
@@ -104,6 +106,15 @@
             return longestWaitMillis;
         }
 
+        /**
+         * Returns the shared prompt parts of the requests.
+         *
+         * @return the identifiers of the parts
+         */
+        public Set<String> interruptedParts() {
+            return interruptedParts;
+        }
+
         /**
          * Returns the shared prompt parts of the requests that had received no event.
          *
@@ -114,12 +125,21 @@
         }
 
         /**
-         * Returns the shared prompt parts to which no response has begun since.
+         * Returns the shared prompt parts of the requests whose responses had begun.
+         *
+         * @return the identifiers of the parts
+         */
+        public Set<String> begunParts() {
+            return begunParts;
+        }
+
+        /**
+         * Returns the shared prompt parts that no response has cleared since.
          *
          * @return the identifiers of the parts
          */
         public Set<String> suspectedParts() {
-            Set<String> suspected = new HashSet<>(unansweredParts);
+            Set<String> suspected = new HashSet<>(interruptedParts);
             suspected.removeAll(exoneratedParts);
             return suspected;
         }
@@ -133,12 +153,16 @@
             return refuted;
         }
 
-        private void addUnanswered(PromptPrefix prefix, long waitedMillis) {
-            unansweredRequests++;
-            longestWaitMillis = Math.max(longestWaitMillis, waitedMillis);
+        private void add(PromptPrefix prefix, boolean answered, long waitedMillis) {
+            brokenRequests++;
+            unansweredRequests += answered ? 0 : 1;
+            longestWaitMillis = answered ? longestWaitMillis : Math.max(longestWaitMillis, waitedMillis);
             for (PromptPrefix.Part part : prefix.sharedParts()) {
-                if (unansweredParts.size() < MAX_PARTS_PER_CRASH) {
-                    unansweredParts.add(part.id());
+                if (interruptedParts.size() < MAX_PARTS_PER_CRASH) {
+                    interruptedParts.add(part.id());
+                }
+                if (interruptedParts.contains(part.id())) {
+                    (answered ? begunParts : unansweredParts).add(part.id());
                 }
             }
         }
@@ -180,10 +204,7 @@
             byId.put(idOf(upstream), crash);
             removeOldest();
         }
-        crash.brokenRequests++;
-        if (!answered) {
-            crash.addUnanswered(prefix, nowMillis - sentMillis);
-        }
+        crash.add(prefix, answered, nowMillis - sentMillis);
     }
 
     private void removeOldest() {
@@ -206,14 +227,14 @@
     }
 
     /**
-     * Discards the suspicion of parts to which a response has begun since a crash.
+     * Discards the suspicion of parts that a response since a crash has cleared.
      *
-     * @param latestFirstEvent returns the time of the latest first event with a part, in milliseconds
+     * @param latestResponses returns the times of the latest responses to a part
      */
-    public void exonerate(ToLongFunction<String> latestFirstEvent) {
+    public void exonerate(Function<String, LatestResponses> latestResponses) {
         for (Crash crash : byId.values()) {
-            crash.unansweredParts.stream()
-                    .filter(part -> latestFirstEvent.applyAsLong(part) >= crash.atMillis)
+            crash.interruptedParts.stream()
+                    .filter(part -> latestResponses.apply(part).clears(crash.begunParts.contains(part), crash.atMillis))
                     .forEach(crash.exoneratedParts::add);
         }
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptQuarantine.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/PromptQuarantine.java
@@ -28,14 +28,11 @@
     /** Time for which a quarantine outlasts the latest request with the part, in milliseconds. */
     public static final long QUARANTINE_MILLIS = 60_000;
 
-    /** Number of first events, since the first crash, that show that a service goes on answering. */
-    private static final int ANSWERING_SAMPLES = 5;
-
     /** Maximum number of crashes and of parts in a report. */
     private static final int MAX_REPORTED = 64;
 
     private final CrashLog crashLog = new CrashLog();
-    private final FirstEventLog firstEvents = new FirstEventLog(ANSWERING_SAMPLES);
+    private final ResponseLog responses = new ResponseLog();
     private final Map<String, Quarantine> localQuarantines = new HashMap<>();
     private final Map<String, Received> evidenceByPeer = new HashMap<>();
     private PromptEvidence total = PromptEvidence.NONE;
@@ -45,7 +42,7 @@
 
     /** Kinds of changes of a part's state. */
     public enum ChangeKind {
-        /** The part was unanswered at crashes in two or more episodes. */
+        /** Requests with the part were interrupted by crashes in two or more episodes. */
         SUSPECTED("prompt-part-suspected"),
         /** Requests with the part are refused from now on. */
         QUARANTINED("prompt-part-quarantined"),
@@ -103,14 +100,25 @@
     }
 
     /**
-     * Records that the response to a request began.
+     * Records that the response to a request began, which does not show yet that its parts are sound.
      *
      * @param service the name of the service
      * @param prefix the parts of the prompt
      * @param nowMillis the current time in milliseconds
      */
-    public void recordFirstEvent(String service, PromptPrefix prefix, long nowMillis) {
-        firstEvents.record(service, prefix, nowMillis);
+    public void recordBeginning(String service, PromptPrefix prefix, long nowMillis) {
+        responses.recordBeginning(service, prefix, nowMillis);
+    }
+
+    /**
+     * Records that the response to a request is complete, which shows that its parts are sound.
+     *
+     * @param service the name of the service
+     * @param prefix the parts of the prompt
+     * @param nowMillis the current time in milliseconds
+     */
+    public void recordCompletion(String service, PromptPrefix prefix, long nowMillis) {
+        responses.recordCompletion(service, prefix, nowMillis);
     }
 
     /**
@@ -127,7 +135,7 @@
      * Returns whether a prompt may have crashed upstreams repeatedly, so that it should not be retried.
      *
      * @param prefix the parts of the prompt
-     * @return true if a shared part is quarantined or has been unanswered at repeated crashes
+     * @return true if a shared part is quarantined or has been in requests at repeated crashes
      */
     public boolean isSuspected(PromptPrefix prefix) {
         return isQuarantined(prefix)
@@ -194,10 +202,11 @@
         parts.addAll(active.keySet());
         Map<String, Set<Integer>> suspects = new HashMap<>(total.suspects());
         suspects.keySet().retainAll(parts);
-        Map<String, Long> answers = new HashMap<>(total.firstEvents());
-        answers.keySet().retainAll(parts);
+        Map<String, LatestResponses> latest = new HashMap<>(total.responses());
+        latest.keySet().retainAll(parts);
         Map<Integer, CrashTime> crashes = parts.isEmpty() ? Map.of() : total.crashes();
-        return limited(new PromptEvidence(crashes, suspects, answers, active, refutedCrashes).unexpired(nowMillis));
+        return limited(new PromptEvidence(crashes, suspects, total.begun(), latest, active, refutedCrashes)
+                .unexpired(nowMillis));
     }
 
     /**
@@ -215,18 +224,17 @@
         refutedCrashes = findRefutedCrashes(upstreams);
         total.crashes().keySet().removeAll(refutedCrashes);
         total.crashes().keySet().removeAll(total.refutedCrashes());
-        crashLog.exonerate(this::latestFirstEvent);
+        crashLog.exonerate(this::latestResponses);
         localQuarantines.entrySet().removeIf(entry -> isVoid(entry.getKey(), entry.getValue()));
         Map<String, Quarantine> newlyActive = new HashMap<>(total.quarantines());
         newlyActive.entrySet().removeIf(entry -> isVoid(entry.getKey(), entry.getValue()));
-        PromptBlame blame = new PromptBlame(total, firstEvents, upstreams, newlyActive.keySet());
+        PromptBlame blame = new PromptBlame(total, responses, upstreams, newlyActive.keySet());
         for (PromptBlame.Suspect suspect : blame.blame(nowMillis)) {
             Quarantine quarantine = new Quarantine(suspect.sinceMillis(), nowMillis + QUARANTINE_MILLIS);
             localQuarantines.put(suspect.part(), quarantine);
             newlyActive.put(suspect.part(), quarantine);
         }
-        Set<String> newlySuspected =
-                blame.suspects().stream().map(PromptBlame.Suspect::part).collect(Collectors.toSet());
+        Set<String> newlySuspected = blame.suspectedParts();
         List<Change> changes = changes(newlyActive.keySet(), newlySuspected);
         active = newlyActive;
         suspected = newlySuspected;
@@ -262,11 +270,11 @@
     }
 
     private boolean isVoid(String part, Quarantine quarantine) {
-        return latestFirstEvent(part) >= quarantine.sinceMillis();
+        return latestResponses(part).clears(true, quarantine.sinceMillis());
     }
 
-    private long latestFirstEvent(String part) {
-        return PromptBlame.latestFirstEvent(part, total, firstEvents);
+    private LatestResponses latestResponses(String part) {
+        return PromptBlame.latestResponses(part, total, responses);
     }
 
     private PromptEvidence combine(Predicate<String> isIncluded, long nowMillis) {
@@ -291,15 +299,19 @@
                             new CrashTime(
                                     crash.atMillis(),
                                     crash.upstream().service().hashCode(),
+                                    crash.interruptedParts().size(),
                                     crash.unansweredParts().size(),
                                     crash.longestWaitMillis()));
-            crash.suspectedParts().forEach(part -> local.suspects()
-                    .computeIfAbsent(part, key -> new HashSet<>())
-                    .add(crash.id()));
+            for (String part : crash.suspectedParts()) {
+                local.suspects().computeIfAbsent(part, key -> new HashSet<>()).add(crash.id());
+                if (crash.begunParts().contains(part)) {
+                    local.begun().computeIfAbsent(part, key -> new HashSet<>()).add(crash.id());
+                }
+            }
         }
         Stream.concat(total.suspects().keySet().stream(), total.quarantines().keySet().stream())
-                .filter(part -> firstEvents.latest(part) != FirstEventLog.NEVER)
-                .forEach(part -> local.firstEvents().put(part, firstEvents.latest(part)));
+                .filter(part -> !responses.latest(part).equals(LatestResponses.NONE))
+                .forEach(part -> local.responses().put(part, responses.latest(part)));
         return local;
     }
 
@@ -330,10 +342,15 @@
                         .reversed())
                 .limit(MAX_REPORTED)
                 .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-        Map<String, Long> firstEvents = evidence.firstEvents().entrySet().stream()
-                .sorted(Map.Entry.<String, Long>comparingByValue().reversed())
+        Map<String, Set<Integer>> begun = new HashMap<>(evidence.begun());
+        begun.keySet().retainAll(suspects.keySet());
+        Map<String, LatestResponses> responses = evidence.responses().entrySet().stream()
+                .sorted(Comparator.comparingLong((Map.Entry<String, LatestResponses> entry) ->
+                                entry.getValue().begunMillis())
+                        .reversed())
                 .limit(MAX_REPORTED)
                 .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-        return new PromptEvidence(crashes, suspects, firstEvents, evidence.quarantines(), evidence.refutedCrashes());
+        return new PromptEvidence(
+                crashes, suspects, begun, responses, evidence.quarantines(), evidence.refutedCrashes());
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/CrashEmulation.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/CrashEmulation.java
@@ -55,6 +55,9 @@
      * @param downMillis the time for which a crashed engine is down, in milliseconds
      * @param engines the number of engines
      * @param documents the number of documents, of which each sound prompt contains one
+     * @param streamMillis the length of a response after its first event, in milliseconds
+     * @param crashDelayMillis the time from the first event of a response to a deadly prompt to the crash, in milliseconds;
+     *     zero if the engine crashes before it
      */
     record Scenario(
             double requestsPerSecond,
@@ -64,7 +67,10 @@
             double deadlyStartMillis,
             double downMillis,
             int engines,
-            int documents) {
+            int documents,
+            double streamMillis,
+            double crashDelayMillis) {
+        private static final double STREAM_MILLIS = 600;
         private static final int ENGINES = 12;
         private static final int DOCUMENTS = 200;
 
@@ -85,6 +91,28 @@
                     ENGINES,
                     DOCUMENTS);
         }
+
+        Scenario(
+                double requestsPerSecond,
+                double promptMillis,
+                int deadlyParts,
+                double deadlyShare,
+                double deadlyStartMillis,
+                double downMillis,
+                int engines,
+                int documents) {
+            this(
+                    requestsPerSecond,
+                    promptMillis,
+                    deadlyParts,
+                    deadlyShare,
+                    deadlyStartMillis,
+                    downMillis,
+                    engines,
+                    documents,
+                    STREAM_MILLIS,
+                    0);
+        }
     }
 
     /**
@@ -127,7 +155,7 @@
         this.scenario = scenario;
         this.random = new Random(seed);
         this.engines = IntStream.range(0, scenario.engines())
-                .mapToObj(index -> new CrashingEngine(index, SERVICE, clock))
+                .mapToObj(index -> new CrashingEngine(index, SERVICE, clock, scenario.streamMillis()))
                 .toList();
         for (int i = 0; i < GATEWAYS; i++) {
             gateways.add(new EmulatedGateway());
@@ -215,8 +243,7 @@
                 request.promptMillis,
                 () -> {
                     if (request.deadly) {
-                        record(deadlyCrashMillis, request);
-                        crash(engine, scenario.downMillis());
+                        crashBy(request, engine);
                     }
                 },
                 new CrashingEngine.Listener() {
@@ -224,10 +251,15 @@
                     public void onFirstEvent() {
                         gateway.unanswered.remove(attempt[0]);
                         gateway.upstreams.find(engine.entry().id()).ifPresent(known -> received(known));
-                        gateway.quarantine.recordFirstEvent(SERVICE, request.prefix, nowMillis());
+                        gateway.quarantine.recordBeginning(SERVICE, request.prefix, nowMillis());
                         end(request, true);
                     }
 
+                    @Override
+                    public void onEnd() {
+                        gateway.quarantine.recordCompletion(SERVICE, request.prefix, nowMillis());
+                    }
+
                     @Override
                     public void onBroken(boolean answered) {
                         gateway.unanswered.remove(attempt[0]);
@@ -235,7 +267,7 @@
                                 .find(engine.entry().id())
                                 .ifPresent(known -> gateway.quarantine.recordBreak(
                                         known.entry(), request.prefix, answered, (long) sentMillis, nowMillis()));
-                        if (!answered) {
+                        if (!answered || request.deadly) {
                             retry(gateway, request, number);
                         }
                     }
@@ -244,6 +276,21 @@
         gateway.unanswered.add(attempt[0]);
     }
 
+    private void crashBy(Request request, CrashingEngine engine) {
+        long incarnation = engine.entry().startedAtMillis();
+        Runnable crash = () -> {
+            if (engine.entry().startedAtMillis() == incarnation) {
+                record(deadlyCrashMillis, request);
+                crash(engine, scenario.downMillis());
+            }
+        };
+        if (scenario.crashDelayMillis() == 0) {
+            crash.run();
+        } else {
+            clock.schedule(scenario.crashDelayMillis(), crash);
+        }
+    }
+
     private void record(Map<String, List<Double>> millisByPart, Request request) {
         millisByPart
                 .computeIfAbsent(request.deadlyPart, key -> new ArrayList<>())
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/CrashingEngine.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/CrashingEngine.java
@@ -9,12 +9,10 @@
 
 /** Emulates an engine that reads prompts one after the other and that crashes and restarts. */
 final class CrashingEngine {
-    /** Length of a response after its first event, in milliseconds. */
-    private static final double STREAM_MILLIS = 600;
-
     private final int index;
     private final String service;
     private final VirtualClock clock;
+    private final double streamMillis;
     private final Set<Run> runs = new LinkedHashSet<>();
     private double busyUntilMillis;
     private double downUntilMillis;
@@ -24,6 +22,8 @@
     interface Listener {
         void onFirstEvent();
 
+        void onEnd();
+
         void onBroken(boolean answered);
     }
 
@@ -37,10 +37,11 @@
         }
     }
 
-    CrashingEngine(int index, String service, VirtualClock clock) {
+    CrashingEngine(int index, String service, VirtualClock clock, double streamMillis) {
         this.index = index;
         this.service = service;
         this.clock = clock;
+        this.streamMillis = streamMillis;
     }
 
     UpstreamEntry entry() {
@@ -73,7 +74,11 @@
         }
         run.answered = true;
         run.listener.onFirstEvent();
-        clock.schedule(STREAM_MILLIS, () -> runs.remove(run));
+        clock.schedule(streamMillis, () -> {
+            if (runs.remove(run)) {
+                run.listener.onEnd();
+            }
+        });
     }
 
     void crash(double downMillis) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/QueryOfDeathTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/emulator/QueryOfDeathTest.java
@@ -83,6 +83,39 @@
                     seed);
         }
 
+        // A first event counted as proof that the part is sound, so a part that crashes engines after it was never
+        // refused.
+        @ParameterizedTest
+        @CsvSource({
+            "1, 60, 0.05, 12, 200, 600, 1", "2, 60, 0.05, 12, 200, 600, 40", "3, 60, 0.05, 12, 200, 600, 300",
+            "4, 60, 0.05, 12, 200, 600, 590", "5, 25, 0.04, 9, 200, 600, 40", "6, 25, 0.04, 9, 200, 2000, 40",
+            "7, 25, 0.04, 9, 200, 2000, 1900", "8, 60, 0.05, 12, 200, 3000, 40", "9, 60, 0.05, 12, 200, 3000, 1500",
+            "10, 60, 0.02, 12, 200, 3000, 2900", "11, 25, 0.04, 9, 20, 600, 40", "12, 25, 0.04, 9, 6, 600, 300",
+            "13, 30, 0.1, 12, 20, 2000, 40", "14, 60, 0.15, 12, 200, 2000, 300"
+        })
+        void stopReachingEnginesThatCrashAfterAnyEvent(
+                long seed,
+                double requestsPerSecond,
+                double deadlyShare,
+                int engines,
+                int documents,
+                double streamMillis,
+                double crashDelayMillis) {
+            assertStopped(
+                    new CrashEmulation.Scenario(
+                            requestsPerSecond,
+                            60,
+                            1,
+                            deadlyShare,
+                            START_MILLIS,
+                            3_000,
+                            engines,
+                            documents,
+                            streamMillis,
+                            crashDelayMillis),
+                    seed);
+        }
+
         private void assertStopped(CrashEmulation.Scenario scenario, long seed) {
             CrashEmulation emulation = new CrashEmulation(scenario, seed);
             emulation.run(END_MILLIS);
@@ -150,6 +183,28 @@
                     .isEmpty();
         }
 
+        @ParameterizedTest
+        @CsvSource({
+            "1, 60, 12, 200, 1, 700",
+            "2, 60, 12, 200, 2, 1500",
+            "3, 60, 12, 200, 12, 3500",
+            "4, 25, 9, 20, 1, 700",
+            "5, 25, 9, 200, 1, 1000",
+            "6, 100, 6, 6, 1, 700"
+        })
+        void ofServicesWithLongResponsesAreBlamedOnNoPart(
+                long seed,
+                double requestsPerSecond,
+                int engines,
+                int documents,
+                int crashingEngines,
+                double gapMillis) {
+            CrashEmulation.Scenario scenario = new CrashEmulation.Scenario(
+                    requestsPerSecond, 60, 1, 0, Double.MAX_VALUE, 3_000, engines, documents, 3_000, 0);
+            assertThat(playOtherCrashes(scenario, seed, crashingEngines, gapMillis).blamedParts)
+                    .isEmpty();
+        }
+
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4})
         void ofConnectionsAloneAreBlamedOnNoPart(long seed) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -134,6 +134,7 @@
                             Map.of(),
                             Map.of(),
                             Map.of(),
+                            Map.of(),
                             Map.of("shared", new PromptEvidence.Quarantine(900, 20_000)),
                             Set.of()),
                     context.currentMillis);
@@ -167,15 +168,54 @@
             assertThat(context.lastAttempt().cancelled).isFalse();
         }
 
+        private boolean isStillQuarantined() {
+            context.promptQuarantine.evaluate(context.upstreams, context.currentMillis);
+            return context.promptQuarantine.isQuarantined(context.prefix);
+        }
+
+        // A first event counted as proof, so a part that crashes upstreams after their first event was never refused.
         @Test
-        void areReleasedWhenAResponseBegins() {
+        void areReleasedWhenAStreamIsComplete() {
             context.start(RouteKind.EVENT_STREAM, true, 2);
             quarantine();
-            assertThat(context.promptQuarantine.isQuarantined(context.prefix)).isTrue();
+            assertThat(isStillQuarantined()).isTrue();
             context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
             context.lastAttempt().sendData("id: 1\ndata: a\n\n");
-            context.promptQuarantine.evaluate(context.upstreams, context.currentMillis);
-            assertThat(context.promptQuarantine.isQuarantined(context.prefix)).isFalse();
+            assertThat(isStillQuarantined()).isTrue();
+            context.lastAttempt().sendData("id: 2\ndata: b\n\n");
+            assertThat(isStillQuarantined()).isTrue();
+            context.lastAttempt().listener.onEnd();
+            assertThat(isStillQuarantined()).isFalse();
+        }
+
+        @Test
+        void areReleasedWhenAPlainResponseIsComplete() {
+            context.start(RouteKind.IDEMPOTENT, false, 2);
+            quarantine();
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("a");
+            assertThat(isStillQuarantined()).isTrue();
+            context.lastAttempt().listener.onEnd();
+            assertThat(isStillQuarantined()).isFalse();
+        }
+
+        @Test
+        void areNotReleasedByAResponseThatIsInterrupted() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            quarantine();
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\n");
+            context.lastAttempt().listener.onFailure("reset");
+            assertThat(isStillQuarantined()).isTrue();
+        }
+
+        @Test
+        void areNotReleasedByAStreamThatEndsInsideAnEvent() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            quarantine();
+            context.lastAttempt().respond(200, FakeExchangeContext.PROOF, "id: 1\ndata: a\n\nid: 2");
+            assertThat(isStillQuarantined()).isTrue();
+            assertThat(context.promptQuarantine.crashLog().crashes()).hasSize(1);
         }
 
         @Test
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceCodecTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceCodecTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.lovagethread.gateway.policy.LatestResponses;
 import org.lovagethread.gateway.policy.PromptEvidence;
 import org.lovagethread.gateway.policy.PromptEvidence.CrashTime;
 import org.lovagethread.gateway.policy.PromptEvidence.Quarantine;
@@ -17,9 +18,14 @@
 
     private static PromptEvidence evidence(long offsetMillis) {
         return new PromptEvidence(
-                Map.of(-7, new CrashTime(offsetMillis + 1_000, 99, 3, 60)),
+                Map.of(-7, new CrashTime(offsetMillis + 1_000, 99, 5, 3, 60)),
                 Map.of("part", Set.of(-7, 12)),
-                Map.of("sound", offsetMillis + 1_200),
+                Map.of("part", Set.of(12)),
+                Map.of(
+                        "sound",
+                        new LatestResponses(offsetMillis + 1_200, offsetMillis + 1_100),
+                        "begun",
+                        new LatestResponses(offsetMillis + 1_200, LatestResponses.NEVER)),
                 Map.of("deadly", new Quarantine(offsetMillis + 900, offsetMillis + 9_000)),
                 Set.of(5, -6));
     }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceStoreTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceStoreTest.java
@@ -64,7 +64,8 @@
             run(3 * TICK_MILLIS, true);
             for (int i = 0; i < 10; i++) {
                 PromptPrefix sound = PromptPrefix.parse("common:5,doc-" + number + "-" + i + ":5,own:1");
-                quarantine.recordFirstEvent("pool", sound, nowMillis());
+                quarantine.recordBeginning("pool", sound, nowMillis());
+                quarantine.recordCompletion("pool", sound, nowMillis());
             }
         }
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrashLogTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrashLogTest.java
@@ -34,7 +34,9 @@
                 assertThat(crash.atMillis()).isEqualTo(1_000);
                 assertThat(crash.brokenRequests()).isEqualTo(3);
                 assertThat(crash.unansweredRequests()).isEqualTo(2);
-                assertThat(crash.unansweredParts()).containsExactly("a", "b", "c");
+                assertThat(crash.interruptedParts()).containsExactly("a", "b", "c", "d");
+                assertThat(crash.unansweredParts()).containsExactlyInAnyOrder("a", "b", "c");
+                assertThat(crash.longestWaitMillis()).isEqualTo(WAITED_MILLIS);
             });
         }
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/PromptQuarantineTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/PromptQuarantineTest.java
@@ -14,6 +14,7 @@
     private static final long WAITED_MILLIS = 50;
 
     private final UpstreamTable upstreams = new UpstreamTable();
+    private boolean answered;
     private final PromptQuarantine first = new PromptQuarantine();
     private final PromptQuarantine second = new PromptQuarantine();
 
@@ -25,10 +26,12 @@
     private long crashUpstreams(PromptQuarantine quarantine, boolean othersAnswered) {
         long nowMillis = 1_000;
         for (int i = 0; i < CRASHES; i++) {
-            quarantine.recordBreak(upstream(i), DEADLY, false, nowMillis - WAITED_MILLIS, nowMillis);
+            quarantine.recordBreak(upstream(i), DEADLY, answered, nowMillis - WAITED_MILLIS, nowMillis);
             nowMillis += 300;
             for (int j = 0; othersAnswered && j < 10; j++) {
-                quarantine.recordFirstEvent(
+                quarantine.recordBeginning(
+                        "pool", PromptPrefix.parse("common:5,doc-" + i + "-" + j + ":5,own:1"), nowMillis);
+                quarantine.recordCompletion(
                         "pool", PromptPrefix.parse("common:5,doc-" + i + "-" + j + ":5,own:1"), nowMillis);
             }
         }
@@ -49,6 +52,26 @@
                     .isFalse();
         }
 
+        // A part that crashes upstreams after their first event was never refused.
+        @Test
+        void thatAreInInterruptedResponsesAtCrashAfterCrashAreQuarantined() {
+            answered = true;
+            first.evaluate(upstreams, crashUpstreams(first, true));
+            assertThat(first.quarantinedParts()).containsExactly("deadly");
+        }
+
+        @Test
+        void areNotClearedByResponsesThatBegin() {
+            answered = true;
+            long nowMillis = crashUpstreams(first, true);
+            first.recordBeginning("pool", DEADLY, nowMillis);
+            first.evaluate(upstreams, nowMillis);
+            assertThat(first.quarantinedParts()).containsExactly("deadly");
+            first.recordCompletion("pool", DEADLY, nowMillis);
+            first.evaluate(upstreams, nowMillis);
+            assertThat(first.quarantinedParts()).isEmpty();
+        }
+
         @Test
         void areNotBlamedIfTheServiceAnswersNoPrompt() {
             first.evaluate(upstreams, crashUpstreams(first, false));
@@ -59,7 +82,7 @@
         void areNotBlamedIfAPeerReportsAnAnswer() {
             long nowMillis = crashUpstreams(first, true);
             second.updatePeer("first", first.localEvidence(nowMillis), nowMillis);
-            second.recordFirstEvent("pool", DEADLY, nowMillis);
+            second.recordCompletion("pool", DEADLY, nowMillis);
             second.evaluate(upstreams, nowMillis);
             first.updatePeer("second", second.localEvidence(nowMillis), nowMillis);
             first.evaluate(upstreams, nowMillis);
