--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Headers.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Headers.java
@@ -1,8 +1,10 @@
 package org.lovagethread.gateway.http;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -40,6 +42,20 @@
         }
     }
 
+    /**
+     * Returns whether the body of a message has no transfer encoding, or only {@code chunked}.
+     *
+     * @param headers the headers of the message
+     * @return false if the end of the body, or its bytes, depend on another encoding
+     */
+    static boolean isPlainOrChunked(HttpHeaders headers) {
+        List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return encodings.isEmpty()
+                || (encodings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                encodings.get(0).strip()));
+    }
+
     private static Set<String> connectionOptions(HttpHeaders headers) {
         Set<String> names = new HashSet<>();
         for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ResponseDecoder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ResponseDecoder.java
@@ -6,8 +6,6 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -113,12 +111,7 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        List<String> encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean chunkedOnly = encodings.isEmpty()
-                || (encodings.size() == 1
-                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
-                                encodings.get(0).strip()));
-        if (!chunkedOnly) {
+        if (!Headers.isPlainOrChunked(message.headers())) {
             throw new IllegalArgumentException("response has a transfer encoding other than chunked");
         }
         return !bodyExpected || super.isContentAlwaysEmpty(message);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StrictRequestDecoder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StrictRequestDecoder.java
@@ -1,10 +1,7 @@
 package org.lovagethread.gateway.http;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
-import java.util.List;
 
 /** Decodes requests and rejects those with an ambiguous body length, which prevents request smuggling. */
 final class StrictRequestDecoder extends HttpRequestDecoder {
@@ -21,12 +18,7 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        List<String> encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean chunkedOnly = encodings.isEmpty()
-                || (encodings.size() == 1
-                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
-                                encodings.get(0).strip()));
-        if (!chunkedOnly) {
+        if (!Headers.isPlainOrChunked(message.headers())) {
             throw new IllegalArgumentException("request has a transfer encoding other than chunked");
         }
         return super.isContentAlwaysEmpty(message);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -253,19 +253,22 @@
         }
     }
 
-    // A request that was given up in a cut reached its upstream after the cut, when another had already answered it.
-    @Nested
-    class GivenUpRequests {
-        private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-        private final EventLoop loop = group.next();
-        private final NettyUpstreamClient client =
+    /** A client with connections to servers of a test. */
+    private abstract class OverSockets {
+        final NioEventLoopGroup group = new NioEventLoopGroup(1);
+        final EventLoop loop = group.next();
+        final NettyUpstreamClient client =
                 new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
 
         @AfterEach
         void stop() {
             group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
         }
+    }
 
+    // A request that was given up in a cut reached its upstream after the cut, when another had already answered it.
+    @Nested
+    class GivenUpRequests extends OverSockets {
         private void assertReset(String response) throws Exception {
             CompletableFuture<Void> received = new CompletableFuture<>();
             try (ScriptedServer server = new ScriptedServer((connection, request) -> {
@@ -292,17 +295,7 @@
     }
 
     @Nested
-    class Reuse {
-        private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-        private final EventLoop loop = group.next();
-        private final NettyUpstreamClient client =
-                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
-
-        @AfterEach
-        void stop() {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
-        }
-
+    class Reuse extends OverSockets {
         private String responseToRequestSentAtTheEndOf(String firstResponse, String secondResponse) throws Exception {
             RecordingListener second = new RecordingListener();
             ScriptedServer.Script script = (connection, request) ->
@@ -411,17 +404,7 @@
     }
 
     @Nested
-    class Endings {
-        private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-        private final EventLoop loop = group.next();
-        private final NettyUpstreamClient client =
-                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
-
-        @AfterEach
-        void stop() {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
-        }
-
+    class Endings extends OverSockets {
         private String outcomeOf(String response, ScriptedServer.Ending ending) throws Exception {
             RecordingListener listener = new RecordingListener();
             try (ScriptedServer server =
