Assert the order of the unanswered parts of a crash again

Cause: CrashLogTest had asserted these parts in their order; since the commit on complete responses it asserted them in any order, which is weaker, without a reason in that commit.

Change: CrashLog keeps their order, and the former assertion stands again, beside that of all interrupted parts. A doc comment of EventSplitter uses the term of server-sent events; two constants of ResponseLog say what they count.

Measured: CrashLogTest, EventSplitterTest, PromptQuarantineTest and PromptEvidenceStoreTest pass.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/EventSplitter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/EventSplitter.java
@@ -8,7 +8,7 @@
  * Splits a stream of server-sent events into single events.
  *
  * <p>An event has a numeric identifier or data, and ends with a blank line. Other lines (blank ones, comments, empty and
- * unknown fields) tell a caller nothing by themselves. They are kept in front of the event that follows, so a stream that
+ * unknown fields) dispatch no event. They are kept in front of the event that follows, so a stream that
  * consists of them alone has no events, and its bytes count as data without an event.
  */
 final class EventSplitter {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrashLog.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/CrashLog.java
@@ -38,7 +38,7 @@
         private final UpstreamEntry upstream;
         private final long atMillis;
         private final Set<String> interruptedParts = new LinkedHashSet<>();
-        private final Set<String> unansweredParts = new HashSet<>();
+        private final Set<String> unansweredParts = new LinkedHashSet<>();
         private final Set<String> begunParts = new HashSet<>();
         private final Set<String> exoneratedParts = new HashSet<>();
         private int brokenRequests;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/ResponseLog.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/ResponseLog.java
@@ -10,9 +10,10 @@
 public final class ResponseLog {
     private static final int MAX_PARTS = 8_192;
 
-    /** Number of responses that begin, or are complete, at a service that goes on answering. */
+    /** Number of responses that have begun at a service that goes on answering. */
     private static final int BEGINNING_SAMPLES = 5;
 
+    /** Number of complete responses of such a service, of which there are fewer while upstreams crash. */
     private static final int COMPLETION_SAMPLES = 2;
 
     private final Map<String, LatestResponses> byPart = new LinkedHashMap<>(16, 0.75f, true) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrashLogTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/CrashLogTest.java
@@ -35,7 +35,7 @@
                 assertThat(crash.brokenRequests()).isEqualTo(3);
                 assertThat(crash.unansweredRequests()).isEqualTo(2);
                 assertThat(crash.interruptedParts()).containsExactly("a", "b", "c", "d");
-                assertThat(crash.unansweredParts()).containsExactlyInAnyOrder("a", "b", "c");
+                assertThat(crash.unansweredParts()).containsExactly("a", "b", "c");
                 assertThat(crash.longestWaitMillis()).isEqualTo(WAITED_MILLIS);
             });
         }
