Log the era of the store, why a lease was taken, and the token of each duty call

The logs of the nodes could not tell who held which token, why, and of which era of the store.

The metric lovagethread_state has store_era. No decision changes.

Measured: the tests of the lease, of duties, of the store and of the HTTP client pass.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
@@ -61,6 +61,7 @@
     private Optional<HeldTerm> held = Optional.empty();
     private Optional<StoredObject> observed = Optional.empty();
     private Optional<String> resignedTerm = Optional.empty();
+    private Takeover takeover = new Takeover("", "", 0);
     private String writtenTerm = "";
     private long observedSinceMillis;
     private long nextCallMillis;
@@ -87,6 +88,15 @@
         long wallMillis();
     }
 
+    /**
+     * How this gateway came to its latest term, for logging.
+     *
+     * @param reason why the lease was available
+     * @param previousTerm the term before; empty if the object did not exist
+     * @param previousRevision the revision of the object that was replaced; zero if it did not exist
+     */
+    public record Takeover(String reason, String previousTerm, long previousRevision) {}
+
     /** Term held by this gateway: the object as written, and the times of both clocks before the write was sent. */
     private record HeldTerm(StoredObject object, long fencingToken, long monotonicMillis, long wallMillis) {}
 
@@ -222,20 +232,22 @@
         }
         StoredObject object = reply.value().get();
         String term = object.content().path(TERM).asText();
-        boolean available = object.content().path(HOLDER).asText().isEmpty() || peerResignedTerms.contains(term);
+        boolean released = object.content().path(HOLDER).asText().isEmpty();
+        boolean available = released || peerResignedTerms.contains(term);
         if (observed.filter(previous -> previous.revision() == object.revision())
                 .isEmpty()) {
             observed = Optional.of(object);
             observedSinceMillis = now;
         }
         if (available || now - observedSinceMillis >= TAKEOVER_DELAY_MILLIS) {
-            startTerm();
+            String reason = released ? "released" : available ? "resigned" : "unchanged";
+            startTerm(new Takeover(reason, term, object.revision()));
             write(object, object.content().path(FENCE).asLong() + 1, 0);
         }
     }
 
     private void create() {
-        startTerm();
+        startTerm(new Takeover("missing", "", 0));
         long number = beginCall();
         long monotonicMillis = clocks.monotonicMillis();
         long wallMillis = clocks.wallMillis();
@@ -246,7 +258,8 @@
         });
     }
 
-    private void startTerm() {
+    private void startTerm(Takeover newTakeover) {
+        takeover = newTakeover;
         termCount++;
         writtenTerm = holder + '#' + termCount;
     }
@@ -335,4 +348,13 @@
     public long lastFencingToken() {
         return lastFencingToken;
     }
+
+    /**
+     * Returns how this gateway came to its latest term, for logging.
+     *
+     * @return the takeover, with empty components if this gateway has never tried to take the lease
+     */
+    public Takeover takeover() {
+        return takeover;
+    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
@@ -259,16 +259,18 @@
             startDeadlineMillis.put(target, nowMillis + startMillis(service));
         }
         nextAttemptMillis.put(target, nowMillis + REFUSED_RETRY_MILLIS);
-        api.order(term.orElseThrow(), order, outcome -> onOutcome(service, order, outcome));
+        long token = term.orElseThrow();
+        api.order(token, order, outcome -> onOutcome(service, order, token, outcome));
     }
 
-    private void onOutcome(ServiceSpec service, FleetOrder order, DutyApi.Outcome outcome) {
+    private void onOutcome(ServiceSpec service, FleetOrder order, long token, DutyApi.Outcome outcome) {
         OrderTarget target = new OrderTarget(order.service(), order.zone(), order.reclaimable());
         log.add(log.line("fleet-order")
                 .put("service", order.service())
                 .put("zone", order.zone())
                 .put("count", order.count())
                 .put("reclaimable", order.reclaimable())
+                .put("fence", token)
                 .put("outcome", outcome.name()));
         if (outcome == DutyApi.Outcome.ACCEPTED) {
             acceptedCounts.put(target, order.count());
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageReporter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageReporter.java
@@ -140,15 +140,17 @@
             return;
         }
         nextAttemptMillis.put(window, monotonicClock.getAsLong() + 3 * RETRY_DELAY_MILLIS);
-        api.reportUsage(token.getAsLong(), window, counts, outcome -> onOutcome(window, counts, outcome));
+        api.reportUsage(
+                token.getAsLong(), window, counts, outcome -> onOutcome(window, counts, token.getAsLong(), outcome));
     }
 
-    private void onOutcome(long window, Map<String, Long> counts, DutyApi.Outcome outcome) {
+    private void onOutcome(long window, Map<String, Long> counts, long token, DutyApi.Outcome outcome) {
         log.add(log.line("usage-report")
                 .put("window", window)
                 .put(
                         "requests",
                         counts.values().stream().mapToLong(Long::longValue).sum())
+                .put("fence", token)
                 .put("outcome", outcome.name()));
         if (outcome == DutyApi.Outcome.UNKNOWN) {
             nextAttemptMillis.put(window, monotonicClock.getAsLong() + RETRY_DELAY_MILLIS);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -30,6 +30,7 @@
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.log.GatewayMetrics;
+import org.lovagethread.gateway.log.LogLine;
 import org.lovagethread.gateway.log.LogRateLimiter;
 import org.lovagethread.gateway.peer.ClusterClock;
 import org.lovagethread.gateway.peer.PeerTable;
@@ -42,6 +43,7 @@
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
 import org.lovagethread.gateway.rollout.RolloutTable;
+import org.lovagethread.gateway.store.EraStore;
 import org.lovagethread.gateway.store.Scheduler;
 import org.lovagethread.gateway.store.StateSync;
 import org.lovagethread.gateway.upstream.LeavingMark;
@@ -83,6 +85,7 @@
     private final PauseReporter pauseReporter;
     private final LagDetector lagDetector = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private final EraStore store;
     private final AddressPolicy addressPolicy;
     private final PeerTable peers;
     private final Placement placement;
@@ -135,6 +138,7 @@
         PooledHttpClient httpClient =
                 new PooledHttpClient(loop, settings.bounds().silenceTimeouts());
         this.ports = portsFactory.apply(httpClient);
+        this.store = new EraStore(ports.store(), log);
         GatewaySettings.Bounds bounds = settings.bounds();
         ZoneTopology zones = new ZoneTopology(settings.zone(), settings.regionByZone());
         this.addressPolicy = new AddressPolicy(zones);
@@ -144,11 +148,10 @@
         this.placement = new Placement(zones, engineModels, zoneTraffic.routing());
         this.retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindowMillis());
         this.usage = new UsageLedger(bounds.usageWindowMillis(), this::clusterMillis);
-        this.sync = new StateSync(
-                ports.store(), ports.configurationDecoder(), upstreams, this, bounds.silenceTimeouts(), log);
-        this.lease = new DutyLease(ports.store(), settings.node() + '#' + incarnation, this, sync::recordCall);
+        this.sync = new StateSync(store, ports.configurationDecoder(), upstreams, this, bounds.silenceTimeouts(), log);
+        this.lease = new DutyLease(store, settings.node() + '#' + incarnation, this, sync::recordCall);
         this.usageReporter = new UsageReporter(
-                ports.store(),
+                store,
                 ports.duties(),
                 usage,
                 bounds.usageReportDeadlineMillis(),
@@ -157,7 +160,7 @@
                 lease::fencingToken,
                 log);
         this.promptEvidence = new PromptEvidenceStore(
-                ports.store(), promptQuarantine, this::nowMillis, this::clusterMillis, sync::recordCall, log);
+                store, promptQuarantine, this::nowMillis, this::clusterMillis, sync::recordCall, log);
         this.fleetManager =
                 new FleetManager(ports.duties(), upstreams, engineModels, this::nowMillis, lease::fencingToken, log);
         fleetManager.followDemand(service -> zoneTraffic.demandByZone(service, nowMillis()));
@@ -293,12 +296,20 @@
     private void logLeaseChange() {
         if (lease.isHeld() != leaseHeld) {
             leaseHeld = lease.isHeld();
-            log.add(log.line(leaseHeld ? "lease-taken" : "lease-lost")
+            LogLine line = log.line(leaseHeld ? "lease-taken" : "lease-lost")
                     .put("fence", lease.lastFencingToken())
-                    .put("store_reachable", sync.storeHealth().isReachable()));
+                    .put("store_era", store.era())
+                    .put("store_reachable", sync.storeHealth().isReachable());
+            log.add(leaseHeld ? addTakeover(line) : line);
         }
     }
 
+    private LogLine addTakeover(LogLine line) {
+        return line.put("reason", lease.takeover().reason())
+                .put("previous_term", lease.takeover().previousTerm())
+                .put("previous_revision", lease.takeover().previousRevision());
+    }
+
     private SimpleHttpServer.Response discoveryResponse(FullHttpRequest request) {
         if (ports.discoveryProtocol().isReadinessCheck(request.uri())) {
             return SimpleHttpServer.Response.empty(
@@ -334,6 +345,7 @@
         metrics.setState(
                 "quarantined_prompt_parts", promptQuarantine.quarantinedParts().size());
         metrics.setState("requests_in_progress", callerServer.activeRequests());
+        metrics.setState("store_era", store.era());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
         metrics.setState("buffered_response_bytes", responseMemory.totalBytes());
         rollouts.expose(metrics);
@@ -439,6 +451,10 @@
         return callerServer;
     }
 
+    EraStore store() {
+        return store;
+    }
+
     PlatformPorts ports() {
         return ports;
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -89,7 +89,7 @@
         this.httpClient = httpClient;
         this.cellExchange = new CellExchange(gateway, gateway.settings().zone());
         this.registry = new GatewayRegistry(
-                gateway.ports().store(),
+                gateway.store(),
                 gateway.settings(),
                 gateway.peers(),
                 gateway,
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PooledHttpClient.java
@@ -10,6 +10,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -93,11 +94,12 @@
      *
      * @param status the status of the response; zero if no response was received
      * @param requestSent whether the server may have received the request
+     * @param headers the headers of the response
      * @param body the body of the response
      */
-    public record Response(int status, boolean requestSent, ByteString body) {
+    public record Response(int status, boolean requestSent, HttpHeaders headers, ByteString body) {
         private static Response none(boolean requestSent) {
-            return new Response(0, requestSent, ByteString.EMPTY);
+            return new Response(0, requestSent, EmptyHttpHeaders.INSTANCE, ByteString.EMPTY);
         }
     }
 
@@ -271,7 +273,7 @@
             ByteString bytes = ByteString.copyFrom(body.nioBuffer());
             body = Unpooled.buffer(0);
             reusable = HttpUtil.isKeepAlive(head);
-            received = Optional.of(new Response(head.status().code(), true, bytes));
+            received = Optional.of(new Response(head.status().code(), true, head.headers(), bytes));
         }
 
         /** Completes the request only now, so that bytes received together with the response are detected. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
@@ -54,7 +54,7 @@
         RolloutOrders orders =
                 new RolloutOrders(gateway.ports().configurationDecoder(), table, gateway::nowMillis, log);
         this.controller = new RolloutController(
-                gateway.ports().store(),
+                gateway.store(),
                 gateway.ports().configurationDecoder(),
                 table,
                 orders,
@@ -63,7 +63,7 @@
                 clusterTime,
                 gateway.lease()::fencingToken);
         this.watcher = new KindWatcher(
-                gateway.ports().store(),
+                gateway.store(),
                 ObjectKind.ROLLOUTS,
                 new KindWatcher.Timing(MAX_WAIT_MILLIS, 0, MAX_RETRY_DELAY_MILLIS),
                 gateway,
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
@@ -47,7 +47,7 @@
                         .put("requests", gateway.callerServer().activeRequests()));
         gateway.callerServer().drain(startMillis);
         gateway.lease().release();
-        gateway.ports().store().remove(ObjectKind.GATEWAYS, gateway.settings().node(), reply -> {});
+        gateway.store().remove(ObjectKind.GATEWAYS, gateway.settings().node(), reply -> {});
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoreReply.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoreReply.java
@@ -1,6 +1,7 @@
 package org.lovagethread.gateway.store;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The reply to a call to the store.
@@ -8,8 +9,19 @@
  * @param <T> the type of the value
  * @param status the outcome of the call
  * @param value the result; with status CONFLICT, the current object; empty if the reply carries none
+ * @param era the era of the store that the reply names; empty if it names none
  */
-public record StoreReply<T>(Status status, Optional<T> value) {
+public record StoreReply<T>(Status status, Optional<T> value, OptionalLong era) {
+
+    /**
+     * Creates a reply that names no era.
+     *
+     * @param status the outcome of the call
+     * @param value the result
+     */
+    public StoreReply(Status status, Optional<T> value) {
+        this(status, value, OptionalLong.empty());
+    }
 
     /** The outcome of a call. */
     public enum Status {
@@ -52,6 +64,16 @@
         return new StoreReply<>(status, Optional.of(value));
     }
 
+    /**
+     * Returns a copy of this reply that names an era.
+     *
+     * @param namedEra the era, or empty if the reply names none
+     * @return the copy
+     */
+    public StoreReply<T> withEra(OptionalLong namedEra) {
+        return new StoreReply<>(status, value, namedEra);
+    }
+
     /**
      * Returns whether the store processed the call, with any result.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PooledHttpClientTest.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.Map;
@@ -112,7 +113,7 @@
             CompletableFuture<PooledHttpClient.Response> received = new CompletableFuture<>();
             loop.execute(() -> client.send(request(server), received::complete));
             assertThat(received.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
-                    .isEqualTo(new PooledHttpClient.Response(0, true, ByteString.EMPTY));
+                    .isEqualTo(new PooledHttpClient.Response(0, true, EmptyHttpHeaders.INSTANCE, ByteString.EMPTY));
         }
     }
 
