Derive the fencing token of a term from the era and the revision of the write that began it

Cause: a term's token was the number in the lease object plus one. A store that comes back from an older copy has an older object, or none, so the next term got a token that had been used. A release or a resignation that belonged to the lost history let a successor begin while a holder of that history could still act, and a conditional write that was checked against the new history by a revision given out again counted as confirmed. All are one class: a revision was taken for a version, although it is one only within an era of the store.

Change: EraStore, which all calls of a gateway go through, makes versions of revisions: the era first, then the revision. The token of a term is the version of the write that began it, so no two terms have one token and later terms have higher ones, with no memory but the store's and its era. A term ends with its era. An object written in an earlier era, or a missing one, is available only after the takeover delay, since its holder may not be known; release and resignation count only if the object is of its era. A conditional write with a version of an earlier era is not sent, and one that was executed in a later era counts as a conflict. The name of a holder has the address of its instance, so that two instances of one name cannot take each other's terms for their own. Logging of the lease moves from Gateway to LeaseLog.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
@@ -7,17 +7,24 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.lovagethread.gateway.store.ObjectKind;
 import org.lovagethread.gateway.store.ObjectStore;
 import org.lovagethread.gateway.store.StoreReply;
 import org.lovagethread.gateway.store.StoreReply.Status;
+import org.lovagethread.gateway.store.StoreVersion;
 import org.lovagethread.gateway.store.StoredObject;
 
 /**
  * Acquires and renews the lease that permits one gateway to perform the duties.
  *
  * <p>The holder counts its deadline from the time before each renewal was sent. Another gateway takes the lease over
- * after it has observed the object unchanged for longer than the lease duration. Each term has a higher fencing token.
+ * after it has observed the object, or its absence, unchanged for longer than the lease duration. The fencing token of a term is the
+ * {@link StoreVersion version} of the write that began it, so no two terms have the same one, and later terms have higher ones.
+ *
+ * <p>A term ends with the era of the store in which it began. An object that was written in an earlier era, or that is
+ * missing, does not tell which terms have begun since. It is therefore never available before the takeover delay has
+ * passed, after which no holder of an earlier era can act any more.
  *
  * <p>The monotonic clock stands still while the process is suspended. A suspension is detected by comparing this clock
  * with the wall clock; any divergence ends the term until the store has confirmed it again.
@@ -47,23 +54,32 @@
     /** Maximum number of resigned terms that are retained. */
     private static final int MAX_RESIGNED_TERMS = 64;
 
+    /** Version that is not that of any state. */
+    private static final long NO_VERSION = -1;
+
     private static final String NAME = "lease";
     private static final String HOLDER = "holder";
     private static final String TERM = "term";
     private static final String FENCE = "fence";
     private static final String RENEWAL = "renewal";
+    private static final String ERA = "era";
+    private static final String ERA_SINCE = "era_since_ms";
 
     private final ObjectStore store;
+    private final LongSupplier storeEra;
     private final String holder;
     private final Clocks clocks;
     private final Consumer<Boolean> storeCallListener;
     private final Set<String> peerResignedTerms = new LinkedHashSet<>();
     private Optional<HeldTerm> held = Optional.empty();
-    private Optional<StoredObject> observed = Optional.empty();
+    private Optional<Term> written = Optional.empty();
     private Optional<String> resignedTerm = Optional.empty();
     private Takeover takeover = new Takeover("", "", 0);
-    private String writtenTerm = "";
+    private String lossReason = "";
+    private long observedVersion = NO_VERSION;
     private long observedSinceMillis;
+    private long observedEra = NO_VERSION;
+    private long eraObservedMillis;
     private long nextCallMillis;
     private long callSentMillis;
     private boolean callPending;
@@ -86,6 +102,13 @@
          * @return the milliseconds since the epoch
          */
         long wallMillis();
+
+        /**
+         * Returns the cluster time, on which all gateways roughly agree.
+         *
+         * @return the milliseconds since the epoch
+         */
+        long clusterMillis();
     }
 
     /**
@@ -93,23 +116,39 @@
      *
      * @param reason why the lease was available
      * @param previousTerm the term before; empty if the object did not exist
-     * @param previousRevision the revision of the object that was replaced; zero if it did not exist
+     * @param previousVersion the version of the object that was replaced; zero if it did not exist
      */
-    public record Takeover(String reason, String previousTerm, long previousRevision) {}
+    public record Takeover(String reason, String previousTerm, long previousVersion) {}
+
+    /**
+     * Term that this gateway has begun to write.
+     *
+     * @param id identifies the term
+     * @param era the era in which it may be held
+     * @param eraSinceMillis the cluster time by which the era had begun
+     */
+    private record Term(String id, long era, long eraSinceMillis) {}
 
     /** Term held by this gateway: the object as written, and the times of both clocks before the write was sent. */
-    private record HeldTerm(StoredObject object, long fencingToken, long monotonicMillis, long wallMillis) {}
+    private record HeldTerm(Term term, StoredObject object, long fencingToken, long monotonicMillis, long wallMillis) {}
 
     /**
      * Creates a lease that is not held.
      *
-     * @param store the store
-     * @param holder the name of this gateway with its incarnation
+     * @param store the store, whose objects bear versions
+     * @param storeEra returns the latest era of the store that is known; in a reply, the era of that reply
+     * @param holder the name of this gateway with its instance and its incarnation, which no other gateway has
      * @param clocks the clocks of the instance
      * @param storeCallListener receives, for each call, whether the store processed it
      */
-    public DutyLease(ObjectStore store, String holder, Clocks clocks, Consumer<Boolean> storeCallListener) {
+    public DutyLease(
+            ObjectStore store,
+            LongSupplier storeEra,
+            String holder,
+            Clocks clocks,
+            Consumer<Boolean> storeCallListener) {
         this.store = store;
+        this.storeEra = storeEra;
         this.holder = holder;
         this.clocks = clocks;
         this.storeCallListener = storeCallListener;
@@ -121,11 +160,7 @@
      * @return the fencing token of the current term, or empty if no call may be started
      */
     public OptionalLong fencingToken() {
-        if (held.isEmpty() || wasSuspended(held.get())) {
-            return OptionalLong.empty();
-        }
-        long age = clocks.monotonicMillis() - held.get().monotonicMillis();
-        return age < LEASE_DURATION_MILLIS - CALL_MARGIN_MILLIS
+        return held.isPresent() && isValid(held.get()) && age(held.get()) < LEASE_DURATION_MILLIS - CALL_MARGIN_MILLIS
                 ? OptionalLong.of(held.get().fencingToken())
                 : OptionalLong.empty();
     }
@@ -136,9 +171,17 @@
      * @return true if the deadline has not passed
      */
     public boolean isHeld() {
-        return held.isPresent()
-                && !wasSuspended(held.get())
-                && clocks.monotonicMillis() - held.get().monotonicMillis() < LEASE_DURATION_MILLIS;
+        return held.isPresent() && isValid(held.get()) && age(held.get()) < LEASE_DURATION_MILLIS;
+    }
+
+    /**
+     * Returns the cluster time by which the era of the store had begun in which the lease is held. Holders of earlier
+     * eras may have acted until then, without a trace in the store.
+     *
+     * @return the milliseconds since the epoch; the largest number if the lease is not held
+     */
+    public long eraSinceMillis() {
+        return held.map(current -> current.term().eraSinceMillis()).orElse(Long.MAX_VALUE);
     }
 
     /**
@@ -159,11 +202,7 @@
         }
         nextCallMillis = now + RENEWAL_INTERVAL_MILLIS;
         if (held.isPresent()) {
-            StoredObject object = held.get().object();
-            write(
-                    object,
-                    held.get().fencingToken(),
-                    object.content().path(RENEWAL).asLong() + 1);
+            renew(held.get().object());
         } else {
             readLease();
         }
@@ -191,25 +230,26 @@
 
     /** Releases the lease so that another gateway can acquire it immediately. */
     public void release() {
-        if (held.isPresent() && !wasSuspended(held.get())) {
-            StoredObject object = held.get().object();
-            ObjectNode content = content("", "", held.get().fencingToken(), 0);
-            store.replace(ObjectKind.DUTIES, object, content, reply -> {});
+        if (held.isPresent() && isValid(held.get())) {
+            ObjectNode content = content("", "", held.get().term(), held.get().fencingToken(), 0);
+            store.replace(ObjectKind.DUTIES, held.get().object(), content, reply -> {});
         }
+        lossReason = "released";
         held = Optional.empty();
         nextCallMillis = Long.MAX_VALUE;
     }
 
-    /** Ends a term whose deadline has passed. All calls started in this term have timed out by then. */
-    private void expire(HeldTerm term) {
-        if (!wasSuspended(term)) {
-            resignedTerm = Optional.of(writtenTerm);
-            writtenTerm = "";
+    /** Ends a term whose deadline or era has passed. All calls started in this term have timed out by the deadline. */
+    private void expire(HeldTerm ended) {
+        lossReason = wasSuspended(ended) ? "suspended" : isOfCurrentEra(ended.term()) ? "deadline" : "store-era";
+        if (!wasSuspended(ended)) {
+            resignedTerm = Optional.of(ended.term().id());
+            written = Optional.empty();
             callNumber++;
             callPending = false;
         }
         held = Optional.empty();
-        observed = Optional.empty();
+        observedVersion = NO_VERSION;
     }
 
     private void readLease() {
@@ -222,57 +262,77 @@
     }
 
     private void onLeaseRead(StoreReply<StoredObject> reply) {
-        long now = clocks.monotonicMillis();
-        if (reply.status() == Status.MISSING) {
-            create();
+        if (reply.status() != Status.MISSING
+                && (reply.status() != Status.OK || reply.value().isEmpty())) {
             return;
         }
-        if (reply.status() != Status.OK || reply.value().isEmpty()) {
-            return;
-        }
-        StoredObject object = reply.value().get();
-        String term = object.content().path(TERM).asText();
-        boolean released = object.content().path(HOLDER).asText().isEmpty();
-        boolean available = released || peerResignedTerms.contains(term);
-        if (observed.filter(previous -> previous.revision() == object.revision())
-                .isEmpty()) {
-            observed = Optional.of(object);
+        Optional<StoredObject> object = reply.value();
+        observe(object.map(StoredObject::revision).orElse(StoreVersion.of(storeEra.getAsLong(), 0)));
+        availability(object).ifPresent(reason -> acquire(object, reason));
+    }
+
+    private void observe(long version) {
+        long now = clocks.monotonicMillis();
+        if (version != observedVersion) {
+            observedVersion = version;
             observedSinceMillis = now;
         }
-        if (available || now - observedSinceMillis >= TAKEOVER_DELAY_MILLIS) {
-            String reason = released ? "released" : available ? "resigned" : "unchanged";
-            startTerm(new Takeover(reason, term, object.revision()));
-            write(object, object.content().path(FENCE).asLong() + 1, 0);
+        if (StoreVersion.era(version) != observedEra) {
+            observedEra = StoreVersion.era(version);
+            eraObservedMillis = now;
         }
     }
 
-    private void create() {
-        startTerm(new Takeover("missing", "", 0));
-        long number = beginCall();
-        long monotonicMillis = clocks.monotonicMillis();
-        long wallMillis = clocks.wallMillis();
-        store.create(ObjectKind.DUTIES, NAME, content(holder, writtenTerm, 1, 0), reply -> {
-            if (acceptReply(number, reply)) {
-                onWritten(reply, monotonicMillis, wallMillis);
-            }
-        });
+    /** Returns why the lease may be acquired now; empty if it may not. */
+    private Optional<String> availability(Optional<StoredObject> object) {
+        Optional<StoredObject> current = object.filter(DutyLease::isOfItsEra);
+        if (current.filter(found -> found.content().path(HOLDER).asText().isEmpty())
+                .isPresent()) {
+            return Optional.of("released");
+        }
+        if (current.filter(found -> peerResignedTerms.contains(termOf(found))).isPresent()) {
+            return Optional.of("resigned");
+        }
+        if (clocks.monotonicMillis() - observedSinceMillis < TAKEOVER_DELAY_MILLIS) {
+            return Optional.empty();
+        }
+        return Optional.of(object.isEmpty() ? "missing" : current.isEmpty() ? "earlier-era" : "unchanged");
     }
 
-    private void startTerm(Takeover newTakeover) {
-        takeover = newTakeover;
+    private void acquire(Optional<StoredObject> object, String reason) {
+        takeover = new Takeover(
+                reason,
+                object.map(DutyLease::termOf).orElse(""),
+                object.map(StoredObject::revision).orElse(0L));
         termCount++;
-        writtenTerm = holder + '#' + termCount;
+        long eraSinceMillis = object.filter(DutyLease::isOfItsEra)
+                .map(found -> found.content().path(ERA_SINCE).asLong())
+                .orElseGet(() -> clocks.clusterMillis() - (clocks.monotonicMillis() - eraObservedMillis));
+        written = Optional.of(new Term(holder + '#' + termCount, storeEra.getAsLong(), eraSinceMillis));
+        write(object, 0);
     }
 
-    private void write(StoredObject expected, long fencingToken, long renewal) {
+    private void renew(StoredObject object) {
+        write(Optional.of(object), object.content().path(RENEWAL).asLong() + 1);
+    }
+
+    private void write(Optional<StoredObject> expected, long renewal) {
         long number = beginCall();
         long monotonicMillis = clocks.monotonicMillis();
         long wallMillis = clocks.wallMillis();
-        store.replace(ObjectKind.DUTIES, expected, content(holder, writtenTerm, fencingToken, renewal), reply -> {
+        long fence = held.map(HeldTerm::fencingToken)
+                .orElse(expected.map(StoredObject::revision).orElse(0L));
+        ObjectNode content = content(holder, written.orElseThrow().id(), written.orElseThrow(), fence, renewal);
+        Consumer<StoreReply<StoredObject>> handler = reply -> {
             if (acceptReply(number, reply)) {
                 onWritten(reply, monotonicMillis, wallMillis);
             }
-        });
+        };
+        if (expected.isPresent()) {
+            store.replace(ObjectKind.DUTIES, expected.get(), content, handler);
+        } else {
+            store.create(ObjectKind.DUTIES, NAME, content, handler);
+        }
     }
 
     private void onWritten(StoreReply<StoredObject> reply, long monotonicMillis, long wallMillis) {
@@ -281,38 +341,46 @@
             return;
         }
         StoredObject object = reply.value().get();
-        boolean ownTerm =
-                !writtenTerm.isEmpty() && object.content().path(TERM).asText().equals(writtenTerm);
-        if (reply.status() == Status.OK && ownTerm) {
-            lastFencingToken = object.content().path(FENCE).asLong();
-            held = Optional.of(new HeldTerm(object, lastFencingToken, monotonicMillis, wallMillis));
-        } else if (ownTerm) {
+        Optional<Term> own =
+                written.filter(term -> term.id().equals(termOf(object))).filter(this::isOfCurrentEra);
+        if (own.isPresent() && reply.status() == Status.OK) {
+            lastFencingToken = held.map(HeldTerm::fencingToken).orElse(object.revision());
+            held = Optional.of(new HeldTerm(own.get(), object, lastFencingToken, monotonicMillis, wallMillis));
+        } else if (own.isPresent()) {
             adoptWrite(object);
         } else {
+            lossReason = "replaced";
             held = Optional.empty();
-            observed = Optional.of(object);
-            observedSinceMillis = clocks.monotonicMillis();
+            observe(object.revision());
         }
     }
 
-    /** Adopts the revision of an earlier write of this term whose reply was lost. The deadline is not extended. */
+    /** Adopts the version of an earlier write of this term whose reply was lost. The deadline is not extended. */
     private void adoptWrite(StoredObject object) {
-        held = held.map(previous ->
-                new HeldTerm(object, previous.fencingToken(), previous.monotonicMillis(), previous.wallMillis()));
+        held = held.map(previous -> new HeldTerm(
+                previous.term(), object, previous.fencingToken(), previous.monotonicMillis(), previous.wallMillis()));
         if (held.isEmpty()) {
-            write(
-                    object,
-                    object.content().path(FENCE).asLong(),
-                    object.content().path(RENEWAL).asLong() + 1);
+            renew(object);
         } else {
             nextCallMillis = clocks.monotonicMillis();
         }
     }
 
-    private boolean wasSuspended(HeldTerm term) {
-        long monotonicMillis = clocks.monotonicMillis() - term.monotonicMillis();
-        long wallMillis = clocks.wallMillis() - term.wallMillis();
-        return Math.abs(wallMillis - monotonicMillis) > SUSPENSION_THRESHOLD_MILLIS;
+    private long age(HeldTerm current) {
+        return clocks.monotonicMillis() - current.monotonicMillis();
+    }
+
+    private boolean isValid(HeldTerm current) {
+        return !wasSuspended(current) && isOfCurrentEra(current.term());
+    }
+
+    private boolean isOfCurrentEra(Term term) {
+        return term.era() == storeEra.getAsLong();
+    }
+
+    private boolean wasSuspended(HeldTerm current) {
+        long wallMillis = clocks.wallMillis() - current.wallMillis();
+        return Math.abs(wallMillis - age(current)) > SUSPENSION_THRESHOLD_MILLIS;
     }
 
     private long beginCall() {
@@ -331,12 +399,23 @@
         return true;
     }
 
-    private static ObjectNode content(String holder, String term, long fencingToken, long renewal) {
+    /** Returns whether an object was written in the era in which the store has it. */
+    private static boolean isOfItsEra(StoredObject object) {
+        return object.content().path(ERA).asLong() == StoreVersion.era(object.revision());
+    }
+
+    private static String termOf(StoredObject object) {
+        return object.content().path(TERM).asText();
+    }
+
+    private static ObjectNode content(String holder, String termId, Term term, long fencingToken, long renewal) {
         ObjectNode node = JsonNodeFactory.instance.objectNode();
         node.put(HOLDER, holder);
-        node.put(TERM, term);
+        node.put(TERM, termId);
         node.put(FENCE, fencingToken);
         node.put(RENEWAL, renewal);
+        node.put(ERA, term.era());
+        node.put(ERA_SINCE, term.eraSinceMillis());
         return node;
     }
 
@@ -357,4 +436,13 @@
     public Takeover takeover() {
         return takeover;
     }
+
+    /**
+     * Returns why this gateway does not hold the lease any more, for logging.
+     *
+     * @return the reason; empty if it has never lost the lease
+     */
+    public String lossReason() {
+        return lossReason;
+    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -25,12 +25,12 @@
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.duty.DutyLease;
 import org.lovagethread.gateway.duty.FleetManager;
+import org.lovagethread.gateway.duty.LeaseLog;
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.duty.UsageReporter;
 import org.lovagethread.gateway.engine.EngineModels;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.log.GatewayMetrics;
-import org.lovagethread.gateway.log.LogLine;
 import org.lovagethread.gateway.log.LogRateLimiter;
 import org.lovagethread.gateway.peer.ClusterClock;
 import org.lovagethread.gateway.peer.PeerTable;
@@ -94,6 +94,7 @@
     private final UsageLedger usage;
     private final StateSync sync;
     private final DutyLease lease;
+    private final LeaseLog leaseLog;
     private final UsageReporter usageReporter;
     private final PromptEvidenceStore promptEvidence;
     private final FleetManager fleetManager;
@@ -104,7 +105,6 @@
     private final RolloutService rollouts;
     private Channel callerListener;
     private long ticks;
-    private boolean leaseHeld;
 
     /**
      * Creates a gateway, which is started by {@link #start}.
@@ -149,7 +149,9 @@
         this.retryBudget = new RetryBudget(bounds.retryRatio(), bounds.retryAllowance(), bounds.retryWindowMillis());
         this.usage = new UsageLedger(bounds.usageWindowMillis(), this::clusterMillis);
         this.sync = new StateSync(store, ports.configurationDecoder(), upstreams, this, bounds.silenceTimeouts(), log);
-        this.lease = new DutyLease(store, settings.node() + '#' + incarnation, this, sync::recordCall);
+        this.lease = new DutyLease(
+                store, store::era, settings.node() + '@' + settings.host() + '#' + incarnation, this, sync::recordCall);
+        this.leaseLog = new LeaseLog(lease, log);
         this.usageReporter = new UsageReporter(
                 store,
                 ports.duties(),
@@ -272,7 +274,7 @@
         peerExchange.tick(nowMillis);
         if (ticks % 5 == 0) {
             lease.tick(sync.isComplete() && !callerServer.isDraining() && peerExchange.isPreferredLeader(nowMillis));
-            logLeaseChange();
+            leaseLog.tick(store.era(), sync.storeHealth().isReachable());
             usageReporter.tick();
             rollouts.tick(nowMillis);
             crashReporter.report(promptQuarantine.evaluate(upstreams, nowMillis), nowMillis);
@@ -293,23 +295,6 @@
         }
     }
 
-    private void logLeaseChange() {
-        if (lease.isHeld() != leaseHeld) {
-            leaseHeld = lease.isHeld();
-            LogLine line = log.line(leaseHeld ? "lease-taken" : "lease-lost")
-                    .put("fence", lease.lastFencingToken())
-                    .put("store_era", store.era())
-                    .put("store_reachable", sync.storeHealth().isReachable());
-            log.add(leaseHeld ? addTakeover(line) : line);
-        }
-    }
-
-    private LogLine addTakeover(LogLine line) {
-        return line.put("reason", lease.takeover().reason())
-                .put("previous_term", lease.takeover().previousTerm())
-                .put("previous_revision", lease.takeover().previousRevision());
-    }
-
     private SimpleHttpServer.Response discoveryResponse(FullHttpRequest request) {
         if (ports.discoveryProtocol().isReadinessCheck(request.uri())) {
             return SimpleHttpServer.Response.empty(
@@ -479,7 +464,8 @@
         peerExchange.send(datagram, hosts);
     }
 
-    private long clusterMillis() {
+    @Override
+    public long clusterMillis() {
         return clock.clusterMillis(wallMillis(), monotonicMillis());
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectStore.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectStore.java
@@ -5,7 +5,11 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-/** Asynchronous client of the platform's object store. Replies are delivered on the event loop of the gateway. */
+/**
+ * Asynchronous client of the platform's object store. Replies are delivered on the event loop of the gateway.
+ *
+ * <p>The platform's client returns revisions; through an {@link EraStore} they are {@link StoreVersion versions}.
+ */
 public interface ObjectStore {
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoredObject.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StoredObject.java
@@ -8,7 +8,7 @@
  * An object in the store.
  *
  * @param name the name, unique within the kind of the object; empty if it cannot be read
- * @param revision the revision of the last change of the object
+ * @param revision the revision of the last change of the object, or its {@link StoreVersion version}
  * @param content the content; for kinds that gateways write, exactly what was written; missing if it cannot be read
  * @param defect why the object cannot be read; empty if it can
  * @param status what gateways reported about the object; missing if nothing
@@ -50,4 +50,14 @@
         return new StoredObject(
                 name, revision, MissingNode.getInstance(), Optional.of(reason), MissingNode.getInstance());
     }
+
+    /**
+     * Returns a copy of this object with another revision.
+     *
+     * @param newRevision the revision or version
+     * @return the copy
+     */
+    public StoredObject withRevision(long newRevision) {
+        return new StoredObject(name, newRevision, content, defect, status);
+    }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
@@ -5,20 +5,41 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.lovagethread.gateway.store.StoreReply.Status;
 
-/** In-memory store whose calls can fail and whose replies can be lost or delayed. */
+/**
+ * In-memory store whose calls can fail and whose replies can be lost or delayed. It can come back from an older copy, and names
+ * its eras from then on.
+ */
 public final class FakeStore implements ObjectStore {
     private final Map<String, StoredObject> objects = new HashMap<>();
     private final List<Runnable> delayed = new ArrayList<>();
     private long revision = 1;
+    private long era;
     private boolean unavailable;
     private boolean dropsWriteReplies;
     private boolean delaysReplies;
     private boolean hidden;
     private int listCalls;
 
+    /** State of the store at one moment. */
+    public record Copy(Map<String, StoredObject> objects, long revision) {}
+
+    /** Returns a copy of the current state. */
+    public Copy copy() {
+        return new Copy(Map.copyOf(objects), revision);
+    }
+
+    /** Replaces the state by a copy, and begins a new era. */
+    public void restore(Copy copy) {
+        objects.clear();
+        objects.putAll(copy.objects());
+        revision = copy.revision();
+        era++;
+    }
+
     /** Returns the number of list calls. */
     public int listCalls() {
         return listCalls;
@@ -59,7 +80,7 @@
         reply.accept(
                 unavailable
                         ? StoreReply.of(Status.NO_ANSWER)
-                        : StoreReply.of(Status.OK, new Page(found, false, revision)));
+                        : withEra(StoreReply.of(Status.OK, new Page(found, false, revision))));
     }
 
     @Override
@@ -90,7 +111,10 @@
             ObjectKind kind, StoredObject expected, JsonNode content, Consumer<StoreReply<StoredObject>> reply) {
         StoredObject existing = objects.get(kind + expected.name());
         if (unavailable || existing == null || existing.revision() != expected.revision()) {
-            answer(reply, StoreReply.of(Status.CONFLICT, existing), false);
+            answer(
+                    reply,
+                    existing == null ? StoreReply.of(Status.MISSING) : StoreReply.of(Status.CONFLICT, existing),
+                    false);
         } else {
             answer(reply, StoreReply.of(Status.OK, put(kind, expected.name(), content)), true);
         }
@@ -126,7 +150,12 @@
         return object;
     }
 
-    private void answer(Consumer<StoreReply<StoredObject>> reply, StoreReply<StoredObject> value, boolean isWrite) {
+    private <T> StoreReply<T> withEra(StoreReply<T> reply) {
+        return era == 0 ? reply : reply.withEra(OptionalLong.of(era));
+    }
+
+    private void answer(Consumer<StoreReply<StoredObject>> reply, StoreReply<StoredObject> unnamed, boolean isWrite) {
+        StoreReply<StoredObject> value = withEra(unnamed);
         if (unavailable) {
             reply.accept(StoreReply.of(Status.NO_ANSWER));
         } else if (isWrite && dropsWriteReplies) {
