Report no window again that may have been reported in an earlier era of the store

The platform can get two usage reports for one window with different counts.

Cause: the counts of a window are stored before they are sent, so that a successor sends the same ones. A store that comes back from an older copy has lost them, and the successor stores and sends its own.

A holder omits a window whose report may have been stored before that time, and logs it as OMITTED.

Measured: UsageReporterTest, RestoredStore.doesNotMakeSuccessorReportOtherCounts failed on the code before, in a scratch copy, and passes.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageReporter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageReporter.java
@@ -19,7 +19,9 @@
 /**
  * Reports the usage of each window while this gateway holds the lease.
  *
- * <p>The counts of a window are stored before they are first sent, so that a successor sends the same counts.
+ * <p>The counts of a window are stored before they are first sent, so that a successor sends the same counts. A store that comes
+ * back from an older copy may have lost them, so a window that may have been reported in an earlier era of the store is
+ * not reported again.
  */
 public final class UsageReporter {
     /** Time after the end of a window within which the counts of all gateways arrive, in milliseconds. */
@@ -28,6 +30,9 @@
     /** Delay between two attempts, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 400;
 
+    /** Maximum difference between the cluster times of two gateways, in milliseconds. */
+    private static final long CLOCK_TOLERANCE_MILLIS = 1_000;
+
     private static final String PREFIX = "usage-";
     private static final String REQUESTS = "requests";
 
@@ -40,6 +45,7 @@
     private final LongSupplier clusterTime;
     private final LongSupplier monotonicClock;
     private final Supplier<OptionalLong> fencingToken;
+    private final LongSupplier eraSinceMillis;
     private final EventLog log;
     private final long reportDeadlineMillis;
     private final TreeSet<Long> completedWindows = new TreeSet<>();
@@ -57,6 +63,7 @@
      * @param clusterTime supplies the cluster time in milliseconds since the epoch
      * @param monotonicClock a monotonic clock in milliseconds
      * @param fencingToken supplies the fencing token if a call may be started
+     * @param eraSinceMillis supplies the cluster time by which the era of the store has begun
      * @param log receives a line for each report
      */
     public UsageReporter(
@@ -67,6 +74,7 @@
             LongSupplier clusterTime,
             LongSupplier monotonicClock,
             Supplier<OptionalLong> fencingToken,
+            LongSupplier eraSinceMillis,
             EventLog log) {
         this.store = store;
         this.api = api;
@@ -75,6 +83,7 @@
         this.clusterTime = clusterTime;
         this.monotonicClock = monotonicClock;
         this.fencingToken = fencingToken;
+        this.eraSinceMillis = eraSinceMillis;
         this.log = log;
     }
 
@@ -92,7 +101,7 @@
         for (long window = oldest; window <= latest; window++) {
             if (!completedWindows.contains(window)
                     && nextAttemptMillis.getOrDefault(window, 0L) <= monotonicClock.getAsLong()) {
-                report(window);
+                reportOrOmit(window);
             }
         }
         while (completedWindows.size() > 2 * STORED_REPORT_WINDOWS) {
@@ -100,6 +109,18 @@
         }
     }
 
+    private void reportOrOmit(long window) {
+        if (ledger.endMillis(window) + COLLECTION_MILLIS - CLOCK_TOLERANCE_MILLIS > eraSinceMillis.getAsLong()) {
+            report(window);
+            return;
+        }
+        completedWindows.add(window);
+        log.add(log.line("usage-report")
+                .put("window", window)
+                .put("fence", fencingToken.get().orElse(0))
+                .put("outcome", "OMITTED"));
+    }
+
     private void report(long window) {
         nextAttemptMillis.put(window, monotonicClock.getAsLong() + RETRY_DELAY_MILLIS);
         Map<String, Long> counts = storedCounts.get(window);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -160,6 +160,7 @@
                 this::clusterMillis,
                 this::nowMillis,
                 lease::fencingToken,
+                lease::eraSinceMillis,
                 log);
         this.promptEvidence = new PromptEvidenceStore(
                 store, promptQuarantine, this::nowMillis, this::clusterMillis, sync::recordCall, log);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/UsageReporterTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/UsageReporterTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.store.FakeStore;
@@ -20,6 +21,7 @@
     private final Gateway one = new Gateway();
     private final Gateway two = new Gateway();
     private long now = 1_000_000;
+    private long eraSinceMillis;
 
     private record Report(long window, Map<String, Long> requests) {}
 
@@ -52,6 +54,7 @@
                 () -> now,
                 () -> now,
                 () -> holdsLease ? OptionalLong.of(1) : OptionalLong.empty(),
+                () -> eraSinceMillis,
                 new EventLog("node", new ByteArrayOutputStream()));
     }
 
@@ -104,4 +107,43 @@
         run(10_000);
         assertThat(api.reports).isEmpty();
     }
+
+    /** The store comes back from an older copy, without what was stored about windows that have been reported. */
+    @Nested
+    class RestoredStore {
+        private final FakeStore.Copy empty = store.copy();
+
+        private void handOver() {
+            store.restore(empty);
+            eraSinceMillis = now;
+            one.holdsLease = false;
+            two.holdsLease = true;
+        }
+
+        @Test
+        void doesNotMakeSuccessorReportOtherCounts() {
+            one.holdsLease = true;
+            run(100);
+            long window = one.ledger.windowAt(now);
+            one.ledger.recordStart("ice");
+            two.ledger.recordStart("ice");
+            two.ledger.recordStart("ice");
+            run(8_000);
+            handOver();
+            run(8_000);
+            assertThat(api.reports.stream().filter(report -> report.window() == window))
+                    .containsExactly(new Report(window, Map.of("ice", 1L)));
+        }
+
+        @Test
+        void doesNotKeepLaterWindowsFromBeingReported() {
+            one.holdsLease = true;
+            run(8_000);
+            handOver();
+            long window = two.ledger.windowAt(now);
+            two.ledger.recordStart("ice");
+            run(9_000);
+            assertThat(api.reports).containsExactly(new Report(window, Map.of("ice", 1L)));
+        }
+    }
 }
