Store the evidence against prompt parts again after a restore of the store

If the store came back from an older copy and all gateways ended later, a quarantined part of a prompt would have been forgotten.

Cause: the holder of the lease wrote the evidence only when it differed from what it had written last, and took that for stored for good.

Change: after a restore each gateway reads again what is stored, keeps what it knows, and the holder writes the difference.

Measured: both tests of PromptEvidenceStoreTest.AfterRestoreOfStore failed on the code before, in a scratch copy, and pass.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -174,6 +174,7 @@
                 bounds.silenceTimeouts().contactMillis(),
                 this::onLeavingNotice);
         store.onRestore(() -> loop.execute(sync::onRestore));
+        store.onRestore(promptEvidence::onRestore);
         this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
         this.peerExchange = new PeerExchange(this, httpClient);
         this.shutdown = new Shutdown(this, bounds);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PromptEvidenceStore.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PromptEvidenceStore.java
@@ -52,6 +52,7 @@
     private Optional<StoredObject> object = Optional.empty();
     private PromptEvidence stored = PromptEvidence.NONE;
     private boolean loaded;
+    private boolean mustReadAgain;
     private boolean callPending;
     private long nextCallMillis = Long.MIN_VALUE;
 
@@ -80,6 +81,14 @@
         this.log = log;
     }
 
+    /**
+     * Reads again what is stored, because the store has come back from an older copy. What is known here is kept, and written
+     * again by the holder of the lease.
+     */
+    void onRestore() {
+        mustReadAgain = true;
+    }
+
     /**
      * Makes the next call if one is due.
      *
@@ -90,7 +99,7 @@
         if (callPending || now < nextCallMillis) {
             return;
         }
-        if (!loaded) {
+        if (!loaded || mustReadAgain) {
             beginCall(now);
             store.read(ObjectKind.DUTIES, NAME, this::onRead);
         } else if (mayWrite) {
@@ -132,11 +141,19 @@
     private void onRead(StoreReply<StoredObject> reply) {
         callPending = false;
         storeCallListener.accept(reply.isProcessed());
-        if (reply.status() == Status.MISSING) {
-            loaded = true;
-        } else if (reply.status() == Status.OK && reply.value().isPresent()) {
-            loaded = true;
-            adopt(reply.value().get());
+        if (reply.status() != Status.MISSING
+                && (reply.status() != Status.OK || reply.value().isEmpty())) {
+            return;
+        }
+        boolean isFirst = !loaded;
+        loaded = true;
+        mustReadAgain = false;
+        object = reply.value();
+        stored = PromptEvidence.NONE;
+        if (isFirst) {
+            reply.value().ifPresent(this::adopt);
+        } else {
+            reply.value().ifPresent(found -> read(found).ifPresent(evidence -> stored = evidence));
         }
     }
 
@@ -170,19 +187,26 @@
     /** Takes over what another process has stored. What cannot be read is replaced with the next evidence. */
     private void adopt(StoredObject found) {
         object = Optional.of(found);
-        long now = monotonicClock.getAsLong();
-        try {
-            stored = decode(found.content(), now);
-        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
-            log.add(log.line("prompt-evidence-unreadable").put("reason", e.toString()));
+        Optional<PromptEvidence> evidence = read(found);
+        if (evidence.isEmpty()) {
             return;
         }
-        quarantine.updatePeer(SOURCE, stored, now);
+        stored = evidence.get();
+        quarantine.updatePeer(SOURCE, stored, monotonicClock.getAsLong());
         log.add(log.line("prompt-evidence-loaded")
                 .put("quarantined", String.join(" ", stored.quarantines().keySet()))
                 .put("suspected", String.join(" ", stored.suspects().keySet())));
     }
 
+    private Optional<PromptEvidence> read(StoredObject found) {
+        try {
+            return Optional.of(decode(found.content(), monotonicClock.getAsLong()));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            log.add(log.line("prompt-evidence-unreadable").put("reason", e.toString()));
+            return Optional.empty();
+        }
+    }
+
     private ObjectNode encode(PromptEvidence evidence, long nowMillis) {
         byte[] bytes = PromptEvidenceCodec.encode(evidence, nowMillis).toByteArray();
         ObjectNode content = JsonNodeFactory.instance.objectNode();
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceStoreTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/PromptEvidenceStoreTest.java
@@ -148,6 +148,39 @@
         }
     }
 
+    /** The store comes back from a copy of before the quarantine, and then all gateways end. */
+    @Nested
+    class AfterRestoreOfStore {
+        private final FakeStore.Copy empty = store.copy();
+
+        private void restore(GatewayProcess holder) {
+            store.restore(empty);
+            holder.evidence.onRestore();
+            holder.run(2 * SECOND_MILLIS, true);
+        }
+
+        @Test
+        void partsStayQuarantined() {
+            first.quarantineDeadlyPart();
+            restore(first);
+            GatewayProcess next = new GatewayProcess(0);
+            next.run(SECOND_MILLIS, false);
+            assertThat(next.quarantine.isQuarantined(DEADLY)).isTrue();
+        }
+
+        @Test
+        void partsThatAreKnownFromStoreOnlyStayQuarantined() {
+            first.quarantineDeadlyPart();
+            GatewayProcess second = new GatewayProcess(0);
+            second.run(SECOND_MILLIS, false);
+            restore(second);
+            assertThat(second.quarantine.isQuarantined(DEADLY)).isTrue();
+            GatewayProcess next = new GatewayProcess(0);
+            next.run(SECOND_MILLIS, false);
+            assertThat(next.quarantine.isQuarantined(DEADLY)).isTrue();
+        }
+    }
+
     @Nested
     class Writes {
         @Test
