Keep the verdict of a rollout when the store comes back from a copy of before it

After a restore the order of a rollout that had been rolled back could be taken up again, and a bad version get requests once more; or an order stayed running for good.

Cause: an order whose object has a newer version and no status, and whose rollout had ended, was taken for another order to the same target. The holder wrote only verdicts of its own statistics, not one that it knew and the store had lost.

Change: an order to the same target in a later era of the store is the known one. The holder writes a verdict that it knows and the stored decision lacks. The watch of orders starts anew after a restore. If all gateways end as well, the verdict is lost and decided anew.

Measured: two of the three new tests of RolloutControllerTest.RestoredStore failed before the change and pass; the third guards an order to the same target after the restore.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RolloutService.java
@@ -68,6 +68,13 @@
                 new KindWatcher.Timing(MAX_WAIT_MILLIS, 0, MAX_RETRY_DELAY_MILLIS),
                 gateway,
                 orders);
+        gateway.store().onRestore(() -> gateway.schedule(0, this::listAgain));
+    }
+
+    private void listAgain() {
+        if (watching) {
+            watcher.restart();
+        }
     }
 
     /** Returns the rollouts. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTable.java
@@ -12,6 +12,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 import org.lovagethread.gateway.policy.ZoneTopology;
+import org.lovagethread.gateway.store.StoreVersion;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /**
@@ -361,11 +362,16 @@
         return Optional.ofNullable(byService.get(service)).map(ServiceRollout::judge);
     }
 
-    /** Returns whether an order is not the known one: another target, or the same one again after the end. */
+    /**
+     * Returns whether an order is not the known one: another target, or the same one again after the end. An order with
+     * the same target in a later era of the store is the known one, without the status that the store has lost.
+     */
     private static boolean startsAnother(ServiceRollout known, Rollout rollout, boolean isTakenUp) {
         boolean isNewer = rollout.revision() > known.rollout().revision();
         boolean isSameTarget = known.rollout().target().equals(rollout.target());
-        return isNewer && (!isSameTarget || (known.stage().isEnded() && !isTakenUp));
+        boolean isSameEra = StoreVersion.era(rollout.revision())
+                == StoreVersion.era(known.rollout().revision());
+        return isNewer && (!isSameTarget || (known.stage().isEnded() && !isTakenUp && isSameEra));
     }
 
     /** Returns whether an order was taken up earlier. Its object may be edited between the verdict and its status. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTask.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTask.java
@@ -72,10 +72,12 @@
     }
 
     private boolean isEnded() {
-        return context.table()
-                .stage(order.service())
-                .filter(RolloutStage::isEnded)
-                .isPresent();
+        return knownVerdict().isPresent();
+    }
+
+    /** Returns the verdict that this gateway knows, which the store may have lost with a later part of its history. */
+    private Optional<RolloutStage> knownVerdict() {
+        return context.table().stage(order.service()).filter(RolloutStage::isEnded);
     }
 
     void tick() {
@@ -140,8 +142,9 @@
     private void takeUp(RolloutOrders.Stored stored, long token, long now) {
         Rollout rollout = context.table().find(order.service()).orElse(order);
         long deadlineMillis = context.clusterTime().getAsLong() + rollout.deadlineMillis() - now;
-        writeRecord(new RolloutRecord(
-                rollout.target(), stored.object().revision(), deadlineMillis, RolloutStage.CANARY, false, token));
+        RolloutStage stage = knownVerdict().orElse(RolloutStage.CANARY);
+        writeRecord(
+                new RolloutRecord(rollout.target(), stored.object().revision(), deadlineMillis, stage, false, token));
     }
 
     /** Continues from a stored decision, whoever stored it. */
@@ -160,6 +163,10 @@
             writeStatus(stored, Optional.of(decision.stage()), token);
             return;
         }
+        if (knownVerdict().isPresent()) {
+            writeRecord(decision.withStage(knownVerdict().get(), token));
+            return;
+        }
         if (!stored.order().isRunning()) {
             writeStatus(stored, Optional.empty(), token);
             return;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutControllerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutControllerTest.java
@@ -16,6 +16,7 @@
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.policy.ZoneTopology;
+import org.lovagethread.gateway.store.EraStore;
 import org.lovagethread.gateway.store.FakeStore;
 import org.lovagethread.gateway.store.ObjectKind;
 import org.lovagethread.gateway.store.ObjectStore;
@@ -35,6 +36,7 @@
 
     /** A gateway with its own table, which may hold the lease. */
     private final class Node implements ConfigurationDecoder {
+        final EraStore eraStore = new EraStore(store, new EventLog("g", new ByteArrayOutputStream()));
         final RolloutTable table;
         final RolloutOrders orders;
         final RolloutController controller;
@@ -44,12 +46,12 @@
             table = new RolloutTable(Optional.of(new RolloutBounds(0.1, 50, 5_000)), ZONES, name, () -> 0.5, LOG);
             orders = new RolloutOrders(this, table, () -> now, LOG);
             controller = new RolloutController(
-                    store, this, table, orders, LOG, () -> now, () -> now + CLUSTER_OFFSET, () -> token);
+                    eraStore, this, table, orders, LOG, () -> now, () -> now + CLUSTER_OFFSET, () -> token);
         }
 
         /** Reads the order as a watch delivers it. */
         Node watch() {
-            store.read(ObjectKind.ROLLOUTS, "desk", reply -> reply.value().ifPresent(orders::apply));
+            eraStore.read(ObjectKind.ROLLOUTS, "desk", reply -> reply.value().ifPresent(orders::apply));
             return this;
         }
 
@@ -299,6 +301,53 @@
         }
     }
 
+    /** The store comes back from a copy of before the verdict, after which the target version responds well. */
+    @Nested
+    class RestoredStore {
+        private void rollBackAndRestore(FakeStore.Copy copy, Node node) {
+            run(node, 3_000, "v2", 5);
+            assertThat(status()).isEqualTo("ROLLED_BACK");
+            store.restore(copy);
+            node.token = OptionalLong.empty();
+            node.controller.tick();
+            node.watch().hold(2);
+            run(node, 3_000, "v2", 0);
+        }
+
+        @Test
+        void doesNotReverseVerdictOfOrderThatHadNotBeenTakenUp() {
+            order("v2");
+            FakeStore.Copy copy = store.copy();
+            Node node = new Node("g").watch().hold(1);
+            rollBackAndRestore(copy, node);
+            assertThat(status()).isEqualTo("ROLLED_BACK");
+            assertThat(versions(node)).containsExactly("v1");
+        }
+
+        @Test
+        void doesNotLoseVerdictOfRunningOrder() {
+            order("v2");
+            Node node = new Node("g").watch().hold(1);
+            run(node, 500, "v2", 0);
+            assertThat(status()).isEqualTo("running");
+            rollBackAndRestore(store.copy(), node);
+            assertThat(status()).isEqualTo("ROLLED_BACK");
+            assertThat(versions(node)).containsExactly("v1");
+        }
+
+        @Test
+        void letsLaterOrderNameSameTargetAgain() {
+            order("v2");
+            FakeStore.Copy copy = store.copy();
+            Node node = new Node("g").watch().hold(1);
+            rollBackAndRestore(copy, node);
+            order("v2");
+            node.watch();
+            run(node, 11_500, "v2", 0);
+            assertThat(status()).isEqualTo("COMPLETED");
+        }
+    }
+
     @Nested
     class Orders {
         @Test
