Release the lease of a stopping gateway only when its last duty call has ended

A call with a lower fencing token could reach the platform after one of the successor's.

Cause: a gateway that stops released the lease at once, while a call that it had just started could still be under way for up to 0.9 s; a successor takes a released lease over within a second.

Change: a stopping gateway starts no further call, and releases the lease after the same margin by which calls end before the deadline of a term. A term that ends with its era is not announced as resigned, since its calls may be under way.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
@@ -80,6 +80,7 @@
     private long observedSinceMillis;
     private long observedEra = NO_VERSION;
     private long eraObservedMillis;
+    private long releaseMillis = Long.MAX_VALUE;
     private long nextCallMillis;
     private long callSentMillis;
     private boolean callPending;
@@ -160,7 +161,10 @@
      * @return the fencing token of the current term, or empty if no call may be started
      */
     public OptionalLong fencingToken() {
-        return held.isPresent() && isValid(held.get()) && age(held.get()) < LEASE_DURATION_MILLIS - CALL_MARGIN_MILLIS
+        return !isReleasing()
+                        && held.isPresent()
+                        && isValid(held.get())
+                        && age(held.get()) < LEASE_DURATION_MILLIS - CALL_MARGIN_MILLIS
                 ? OptionalLong.of(held.get().fencingToken())
                 : OptionalLong.empty();
     }
@@ -197,7 +201,11 @@
         if (callPending && now - callSentMillis > STORE_CALL_TIMEOUT_MILLIS) {
             callPending = false;
         }
-        if (callPending || now < nextCallMillis || (!candidate && held.isEmpty())) {
+        if (!callPending && now >= releaseMillis) {
+            writeRelease();
+        }
+        boolean mayAcquire = candidate && !isReleasing();
+        if (callPending || now < nextCallMillis || (!mayAcquire && held.isEmpty())) {
             return;
         }
         nextCallMillis = now + RENEWAL_INTERVAL_MILLIS;
@@ -228,22 +236,36 @@
         }
     }
 
-    /** Releases the lease so that another gateway can acquire it immediately. */
+    /**
+     * Starts no further call, and releases the lease as soon as all calls have ended, so that another gateway can acquire it
+     * then. The lease is not acquired again.
+     */
     public void release() {
-        if (held.isPresent() && isValid(held.get())) {
+        releaseMillis = clocks.monotonicMillis() + CALL_MARGIN_MILLIS;
+    }
+
+    private void writeRelease() {
+        if (held.isPresent()) {
+            lossReason = "released";
             ObjectNode content = content("", "", held.get().term(), held.get().fencingToken(), 0);
             store.replace(ObjectKind.DUTIES, held.get().object(), content, reply -> {});
         }
-        lossReason = "released";
         held = Optional.empty();
+        written = Optional.empty();
+        callNumber++;
         nextCallMillis = Long.MAX_VALUE;
     }
 
+    private boolean isReleasing() {
+        return releaseMillis != Long.MAX_VALUE;
+    }
+
     /** Ends a term whose deadline or era has passed. All calls started in this term have timed out by the deadline. */
     private void expire(HeldTerm ended) {
         lossReason = wasSuspended(ended) ? "suspended" : isOfCurrentEra(ended.term()) ? "deadline" : "store-era";
         if (!wasSuspended(ended)) {
-            resignedTerm = Optional.of(ended.term().id());
+            resignedTerm =
+                    isOfCurrentEra(ended.term()) ? Optional.of(ended.term().id()) : resignedTerm;
             written = Optional.empty();
             callNumber++;
             callPending = false;
