Keep the fencing token with its term

Cause: the token of a term was kept with the proof that the lease is held. A holder whose clock stepped while a renewal was under way lost that proof, and took up the same term again with the token of the later write; a slow call with the first token then arrived after one with the second.

Change: the token belongs to the term that was written.

Measured: DutyLeaseRestoreTest.ClockStepWhileRenewalIsUnderWay.neverGivesTermAnotherToken failed before the change (8 instead of 2) and passes.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
@@ -73,6 +73,7 @@
     private final Set<String> peerResignedTerms = new LinkedHashSet<>();
     private Optional<HeldTerm> held = Optional.empty();
     private Optional<Term> written = Optional.empty();
+    private OptionalLong writtenToken = OptionalLong.empty();
     private Optional<String> resignedTerm = Optional.empty();
     private Takeover takeover = new Takeover("", "", 0);
     private String lossReason = "";
@@ -331,6 +332,7 @@
                 .map(found -> found.content().path(ERA_SINCE).asLong())
                 .orElseGet(() -> clocks.clusterMillis() - (clocks.monotonicMillis() - eraObservedMillis));
         written = Optional.of(new Term(holder + '#' + termCount, storeEra.getAsLong(), eraSinceMillis));
+        writtenToken = OptionalLong.empty();
         write(object, 0);
     }
 
@@ -342,8 +344,7 @@
         long number = beginCall();
         long monotonicMillis = clocks.monotonicMillis();
         long wallMillis = clocks.wallMillis();
-        long fence = held.map(HeldTerm::fencingToken)
-                .orElse(expected.map(StoredObject::revision).orElse(0L));
+        long fence = writtenToken.orElse(expected.map(StoredObject::revision).orElse(0L));
         ObjectNode content = content(holder, written.orElseThrow().id(), written.orElseThrow(), fence, renewal);
         Consumer<StoreReply<StoredObject>> handler = reply -> {
             if (acceptReply(number, reply)) {
@@ -366,7 +367,8 @@
         Optional<Term> own =
                 written.filter(term -> term.id().equals(termOf(object))).filter(this::isOfCurrentEra);
         if (own.isPresent() && reply.status() == Status.OK) {
-            lastFencingToken = held.map(HeldTerm::fencingToken).orElse(object.revision());
+            lastFencingToken = writtenToken.orElse(object.revision());
+            writtenToken = OptionalLong.of(lastFencingToken);
             held = Optional.of(new HeldTerm(own.get(), object, lastFencingToken, monotonicMillis, wallMillis));
         } else if (own.isPresent()) {
             adoptWrite(object);
