Let streams go on only at the software version that began them

Nothing bound a stream to the version that began it. Retries and replacements of silent upstreams took any version, and Resumes, in which a client names the request that brought the first event, was not read.

An exchange now uses only upstreams of the version whose event it has forwarded. A request that takes a stream up gets its version before the first attempt, from the memory of the gateway or from the store, where gateways keep the streams that begin while a service has several versions. If it is unknown, or no upstream of it is left, the request is refused at once and not run (version-unavailable). With a single version nothing is stored, looked up or refused; a gateway that has just started does not take the only version that it sees for the only one there was. A rollout still keeps streams away from a version that lost. Log lines name the version of each attempt, what is known about a resumed stream, and when versions stand side by side. StreamPosition and Suspension are moved out of Exchange unchanged.

On the code before, four of the five tests of ExchangeVersionTest (InterruptedStreams) failed. FakeStore now replies MISSING to the replacement of a missing object, as the store does; it threw an exception.

--- a/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
+++ b/lovagethread-core/src/main/java/org/lovagethread/core/error/ErrorKind.java
@@ -39,6 +39,9 @@
     /** A part of the prompt has crashed several upstreams, and no prompt with it is sent to another one for some time. */
     PROMPT_QUARANTINED(
             503, RunState.NOT_RUN, true, "A part of the prompt crashed upstreams; it is not sent to more of them."),
+    /** No upstream of the software version that began the stream is available, or the version is not known. */
+    VERSION_UNAVAILABLE(
+            503, RunState.NOT_RUN, true, "No upstream of the version that began the stream can continue it."),
     /** The claim required for the call could not be written to the Object API. */
     STORE_UNAVAILABLE(503, RunState.NOT_RUN, true, "The claim of the idempotency key cannot be recorded."),
     /** The deadline passed before any part of the call was sent to an upstream. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/GatewaySettings.java
@@ -21,6 +21,7 @@
  * @param capacity the relative capacity of the instance
  * @param seeds the IP addresses of the gateways to contact at startup
  * @param bounds the operational limits guaranteed by the operators
+ * @param firstStart whether the whole system starts for the first time, so that no stream can have begun before
  */
 public record GatewaySettings(
         String node,
@@ -34,7 +35,38 @@
         InetSocketAddress metricsAddress,
         int capacity,
         List<String> seeds,
-        Bounds bounds) {
+        Bounds bounds,
+        boolean firstStart) {
+
+    /** Creates settings of a gateway before whose start others may have run. */
+    public GatewaySettings(
+            String node,
+            String host,
+            String zone,
+            Map<String, String> regionByZone,
+            InetSocketAddress callerAddress,
+            InetSocketAddress readinessAddress,
+            InetSocketAddress directoryAddress,
+            int peerPort,
+            InetSocketAddress metricsAddress,
+            int capacity,
+            List<String> seeds,
+            Bounds bounds) {
+        this(
+                node,
+                host,
+                zone,
+                regionByZone,
+                callerAddress,
+                readinessAddress,
+                directoryAddress,
+                peerPort,
+                metricsAddress,
+                capacity,
+                seeds,
+                bounds,
+                false);
+    }
 
     /** Creates settings from copies of the collections. */
     public GatewaySettings {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/config/RouteTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/config/RouteTable.java
@@ -16,6 +16,7 @@
 
     private final LatencyTargets latencyTargets;
     private final Map<String, List<Route>> byHost = new HashMap<>();
+    private final long longestResumableMillis;
 
     /**
      * Creates a table.
@@ -24,6 +25,11 @@
      */
     public RouteTable(List<Route> routes) {
         this.latencyTargets = new LatencyTargets(routes);
+        this.longestResumableMillis = routes.stream()
+                .filter(route -> route.isStreaming() && route.resumable())
+                .mapToLong(Route::timeoutMillis)
+                .max()
+                .orElse(0);
         for (Route route : routes) {
             byHost.computeIfAbsent(normalized(route.host()), host -> new ArrayList<>())
                     .add(route);
@@ -40,6 +46,15 @@
         return latencyTargets;
     }
 
+    /**
+     * Returns the longest timeout of the routes whose streams can be resumed.
+     *
+     * @return the timeout in milliseconds; zero if there is no such route
+     */
+    public long longestResumableMillis() {
+        return longestResumableMillis;
+    }
+
     /**
      * Finds the route of a request.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
@@ -7,6 +7,7 @@
 import org.lovagethread.gateway.config.Customer;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.ServiceSpec;
+import org.lovagethread.gateway.policy.Placement;
 
 /**
  * A request that was admitted under the active configuration.
@@ -38,6 +39,28 @@
         return Math.min(attributes.callerTimeoutMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
     }
 
+    /** Returns what the request needs from an engine. */
+    Placement.Demand demand() {
+        return service.engine().isPresent()
+                ? new Placement.Demand(
+                        attributes.prefix(), attributes.promptTokens().orElse(0), attributes.maxOutputTokens())
+                : Placement.Demand.PLAIN;
+    }
+
+    /** Returns whether the request takes up a stream that was interrupted before. */
+    boolean isResumption() {
+        return route.isStreaming()
+                && route.resumable()
+                && attributes.lastEventId().isPresent();
+    }
+
+    /** Returns the identifier under which the stream can be taken up again; empty if the caller does not state it. */
+    Optional<String> streamId() {
+        return isResumption()
+                ? attributes.resumedRequestId()
+                : Optional.of(attributes.requestId()).filter(id -> !id.isEmpty());
+    }
+
     /** Returns the priority that is sent to upstreams, where zero is the highest. */
     int priority() {
         int customerPriority = customer.map(Customer::priority)
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
@@ -19,6 +19,7 @@
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
     final Upstream upstream;
+    final String version;
     final Placement.Choice choice;
     final long sentMillis;
     final long memoryTokens;
@@ -54,6 +55,7 @@
         this.resumesStream = resumesStream;
         this.choice = choice;
         this.upstream = choice.upstream();
+        this.version = upstream.entry().version();
         this.memoryTokens = memoryTokens;
         this.sentMillis = nowMillis;
         this.expectation = upstream.stall().start(choice.predictedLatencyMillis(), nowMillis);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -29,12 +29,6 @@
     /** Minimum time before the deadline for starting an attempt, in milliseconds. */
     private static final long MIN_ATTEMPT_MILLIS = 25;
 
-    /**
-     * Time for which a silent attempt is kept beside its replacement, in milliseconds. Upstreams must not work on the
-     * same request for longer.
-     */
-    private static final long SUSPENSION_MILLIS = 300;
-
     private final ExchangeContext context;
     private final ResponseClassifier responses;
     private final ResponseWriter caller;
@@ -51,18 +45,14 @@
     private final ExchangeRecord record;
     private final AttemptRecorder recorder;
     private final UpstreamSelector selector;
+    private final StreamPosition position;
+    private final Suspension suspension = new Suspension();
 
     private Attempt attempt;
-    private Optional<Attempt> suspended = Optional.empty();
-    private long suspensionDeadlineMillis;
     private int attempts;
     private int possibleRuns;
     private boolean ended;
-    private boolean streamStarted;
     private boolean usageRecorded;
-    private Optional<String> streamMediaType = Optional.empty();
-    private long lastEventId;
-    private boolean lastEventNumbered;
     private boolean readingPaused;
     private Optional<BufferedResponse> upstreamError = Optional.empty();
 
@@ -80,21 +70,40 @@
         this.service = admitted.service();
         this.startedMillis = nowMillis;
         this.deadlineMillis = nowMillis + admitted.timeoutMillis();
-        this.lastEventId = attributes.lastEventId().orElse(-1);
-        this.demand = service.engine().isPresent()
-                ? new Placement.Demand(
-                        attributes.prefix(), attributes.promptTokens().orElse(0), attributes.maxOutputTokens())
-                : Placement.Demand.PLAIN;
+        this.position = new StreamPosition(attributes.lastEventId());
+        this.demand = admitted.demand();
         this.record = new ExchangeRecord(admitted, nowMillis);
         this.recorder = new AttemptRecorder(context, admitted, demand);
         this.selector = new UpstreamSelector(context, admitted, demand);
     }
 
-    /** Starts the first attempt. */
+    /** Starts the first attempt, once it is known which upstreams may serve the request. */
     void start() {
         context.retryBudget().recordRequest(service.name(), startedMillis);
+        runGuarded(() -> context.streamOrigins()
+                .resolve(
+                        record.admitted(),
+                        startedMillis,
+                        origin -> runGuarded(() -> onOriginResolved(origin, context.nowMillis()))));
+    }
+
+    private void onOriginResolved(StreamOrigin origin, long nowMillis) {
+        if (ended) {
+            return;
+        }
+        record.recordOrigin(origin);
+        origin.version().ifPresent(selector::pin);
+        if (origin.isResolved()) {
+            dispatch(nowMillis);
+        } else {
+            long retryAfterMillis = selector.retryAfterMillis(deadlineMillis - nowMillis, nowMillis);
+            refuse(ErrorKind.VERSION_UNAVAILABLE, retryAfterMillis, nowMillis);
+        }
+    }
+
+    private void runGuarded(Runnable action) {
         try {
-            dispatch(startedMillis);
+            action.run();
         } catch (RuntimeException e) {
             onInternalError(e);
         }
@@ -131,13 +140,11 @@
             onDeadline(nowMillis);
             return;
         }
-        if (suspended.isPresent() && nowMillis >= suspensionDeadlineMillis) {
-            endSuspended();
-        }
+        suspension.expire(nowMillis);
         if (attempt != null
                 && !attempt.firstEventReceived
                 && context.promptQuarantine().isQuarantined(attributes.prefix())) {
-            endSuspended();
+            suspension.end();
             onAttemptFailed(AttemptOutcome.BROKEN, "cancelled, a part of the prompt is quarantined", nowMillis);
             return;
         }
@@ -147,14 +154,14 @@
     }
 
     private void checkSilence(long nowMillis) {
-        if (!attempt.isSilent(route, streamStarted, context.observedMillis())) {
+        if (!attempt.isSilent(route, position.hasStarted(), context.observedMillis())) {
             return;
         }
         if (!attempt.silenceRecorded) {
             attempt.silenceRecorded = true;
             recorder.recordUnreachable(attempt, nowMillis);
         }
-        if (context.hasHealthyUpstream(service.name(), triedUpstreams, nowMillis)
+        if (selector.hasHealthyUntried(triedUpstreams, nowMillis)
                 && tryReserveRetry(AttemptOutcome.SILENT, possibleRuns + 1, nowMillis)) {
             suspendAttempt(nowMillis);
             retry(nowMillis);
@@ -164,27 +171,16 @@
     /** Stops reading from the current attempt, and keeps it for the case that its replacement fails at once. */
     private void suspendAttempt(long nowMillis) {
         record.recordFailure(AttemptOutcome.SILENT, "no data within the inactivity timeout", nowMillis);
-        endSuspended();
         possibleRuns++;
-        suspensionDeadlineMillis = nowMillis + SUSPENSION_MILLIS;
-        attempt.handle.setReading(false);
-        suspended = Optional.of(attempt);
+        suspension.begin(attempt, nowMillis);
         attempt = null;
     }
 
     /** Continues with the suspended attempt, because its replacement failed before the first event. */
     private void resumeSuspended(long nowMillis) {
-        attempt = suspended.orElseThrow();
-        suspended = Optional.empty();
+        attempt = suspension.resume(nowMillis, context.observedMillis());
         possibleRuns--;
         record.recordResumption(attempt.upstream.entry(), nowMillis);
-        attempt.recordBytes(nowMillis, context.observedMillis());
-        attempt.handle.setReading(true);
-    }
-
-    private void endSuspended() {
-        suspended.ifPresent(Attempt::release);
-        suspended = Optional.empty();
     }
 
     private void dispatch(long nowMillis) {
@@ -224,7 +220,7 @@
         Attempt newAttempt = new Attempt(
                 choice,
                 demand.promptTokens() + (long) demand.maxOutputTokens(),
-                streamStarted,
+                position.hasStarted(),
                 nowMillis,
                 context.observedMillis(),
                 context.responseMemory(),
@@ -240,7 +236,7 @@
                                 customer.map(Customer::name),
                                 remainingMillis,
                                 record.admitted().priority(),
-                                lastEventId));
+                                position.lastEventId()));
         UpstreamClient.RequestHandle handle = context.upstreamClient()
                 .send(
                         upstream.entry(),
@@ -285,15 +281,13 @@
 
     /** Gives up an attempt, because the responses that are buffered by all exchanges take too much memory. */
     private void onEvicted(Attempt evicted) {
-        try {
+        runGuarded(() -> {
             if (attempt == evicted) {
                 onAttemptFailed(AttemptOutcome.BROKEN, "too much memory for buffered data", context.nowMillis());
             } else {
-                endSuspended();
+                suspension.end();
             }
-        } catch (RuntimeException e) {
-            onInternalError(e);
-        }
+        });
     }
 
     @Override
@@ -311,7 +305,7 @@
                     now);
         } else if (ResponseClassifier.isSuccess(attempt.response) && !responses.hasProof(attempt.response)) {
             onAttemptFailed(AttemptOutcome.BROKEN, "response has no proof of origin", now);
-        } else if (streamStarted || responses.isFailure(attempt.response)) {
+        } else if (position.hasStarted() || responses.isFailure(attempt.response)) {
             upstreamError = Optional.of(new BufferedResponse(attempt.response, attempt.buffered))
                     .filter(error -> !responses.promisesNotRun(error.response()));
             recorder.recordFailure(attempt, now);
@@ -344,28 +338,26 @@
     }
 
     private void onEvent(Attempt source, long id, ByteBuf event) {
-        if (attempt != source || (id >= 0 && id <= lastEventId && !attempt.awaitsContinuation())) {
+        if (attempt != source || (position.includes(id) && !attempt.awaitsContinuation())) {
             return;
         }
-        boolean mustContinue = attempt.awaitsContinuation() || (streamStarted && id >= 0 && lastEventId >= 0);
-        if (mustContinue && id != lastEventId + 1) {
+        long now = context.nowMillis();
+        if (position.isGap(id, attempt.awaitsContinuation())) {
             onAttemptFailed(
-                    AttemptOutcome.BROKEN, "received event " + id + " after event " + lastEventId, context.nowMillis());
+                    AttemptOutcome.BROKEN, "received event " + id + " after event " + position.lastEventId(), now);
             return;
         }
         attempt.bytesSinceEvent = 0;
-        long now = context.nowMillis();
         if (!attempt.firstEventReceived) {
             onFirstEvent(now);
         }
-        if (!streamStarted) {
-            streamMediaType = ResponseClassifier.mediaType(attempt.response);
-            caller.startStream(attempt.response.status(), attempt.response.headers());
-            streamStarted = true;
+        if (!position.hasStarted()) {
+            startStream();
+            selector.pin(attempt.version);
+            context.streamOrigins().recordBeginning(record.admitted(), attempt.version, now);
             record.recordFirstEvent(now);
         }
-        lastEventNumbered = id >= 0;
-        lastEventId = id >= 0 ? id : lastEventId;
+        position.recordEvent(id);
         caller.addStreamData(event);
     }
 
@@ -375,14 +367,14 @@
     }
 
     private void flushStream() {
-        if (streamStarted && !caller.flushStream() && attempt != null && attempt.handle != null) {
+        if (position.hasStarted() && !caller.flushStream() && attempt != null && attempt.handle != null) {
             readingPaused = true;
             attempt.handle.setReading(false);
         }
     }
 
     private void onFirstEvent(long nowMillis) {
-        endSuspended();
+        suspension.end();
         attempt.firstEventReceived = true;
         attempt.firstEventMillis = nowMillis;
         recorder.recordFirstEvent(attempt, nowMillis);
@@ -401,16 +393,20 @@
             return;
         }
         recorder.recordStreamEnd(attempt, nowMillis);
-        if (!streamStarted) {
+        if (!position.hasStarted()) {
             recordUsage();
-            caller.startStream(attempt.response.status(), attempt.response.headers());
-            streamStarted = true;
+            startStream();
         }
         caller.addStreamData(attempt.eventSplitter.remainder());
         caller.endStream();
         finish("answered", nowMillis);
     }
 
+    private void startStream() {
+        caller.startStream(attempt.response.status(), attempt.response.headers());
+        position.start(attempt.response);
+    }
+
     private void recordUsage() {
         if (!usageRecorded) {
             usageRecorded = true;
@@ -439,10 +435,10 @@
     private boolean tryReserveRetry(AttemptOutcome outcome, int runs, long nowMillis) {
         return attempts < MAX_ATTEMPTS
                 && outcome.allowsRetry(route, runs)
-                && (!streamStarted || lastEventNumbered)
+                && position.canContinue()
                 && (!outcome.mayHaveRun() || !context.promptQuarantine().isSuspected(attributes.prefix()))
                 && deadlineMillis - nowMillis >= MIN_ATTEMPT_MILLIS
-                && context.hasUntriedUpstream(service.name(), triedUpstreams)
+                && selector.hasUntried(triedUpstreams)
                 && (!outcome.mayHaveArrived()
                         || context.retryBudget().tryWithdraw(service.name(), context.gatewayCount(), nowMillis));
     }
@@ -453,12 +449,12 @@
     }
 
     private void giveUp(AttemptOutcome outcome, String reason, long nowMillis) {
-        if (suspended.isPresent() && (streamStarted || upstreamError.isEmpty())) {
+        if (suspension.isPresent() && (position.hasStarted() || upstreamError.isEmpty())) {
             resumeSuspended(nowMillis);
             return;
         }
         record.recordReason(reason);
-        if (streamStarted) {
+        if (position.hasStarted()) {
             caller.abort();
             finish("stream-cut", nowMillis);
         } else if (upstreamError.isPresent()
@@ -472,7 +468,10 @@
         } else if (possibleRuns > 0) {
             refuse(outcome.mayHaveRun() ? outcome.errorKind() : ErrorKind.UPSTREAM_FAILED, 0, nowMillis);
         } else {
-            refuse(outcome.errorKind(), selector.retryAfterMillis(deadlineMillis - nowMillis, nowMillis), nowMillis);
+            refuse(
+                    selector.errorKind(outcome),
+                    selector.retryAfterMillis(deadlineMillis - nowMillis, nowMillis),
+                    nowMillis);
         }
     }
 
@@ -487,7 +486,7 @@
         }
         record.recordReason(error.toString());
         try {
-            if (streamStarted) {
+            if (position.hasStarted()) {
                 caller.abort();
             } else {
                 caller.sendError(ErrorKind.UPSTREAM_FAILED, 0);
@@ -522,7 +521,7 @@
 
     /** Ends the exchange with an error that depends on whether the request may have run, or cuts the stream. */
     private void endUnfinished(ErrorKind ifNotRun, ErrorKind ifMayHaveRun, long nowMillis) {
-        if (streamStarted) {
+        if (position.hasStarted()) {
             caller.abort();
             finish("stream-cut", nowMillis);
         } else {
@@ -540,7 +539,7 @@
 
     private void finish(String outcome, long nowMillis) {
         ended = true;
-        endSuspended();
+        suspension.end();
         endAttempt();
         record.recordOutcome(outcome, nowMillis);
         context.onExchangeEnded(this, record);
@@ -565,6 +564,6 @@
     private boolean isEventStream() {
         return route.isStreaming()
                 && responses.isSuccessWithProof(attempt.response)
-                && (!streamStarted || streamMediaType.equals(ResponseClassifier.mediaType(attempt.response)));
+                && position.mayContinueWith(attempt.response);
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -1,6 +1,5 @@
 package org.lovagethread.gateway.http;
 
-import java.util.Set;
 import org.lovagethread.gateway.config.Customer;
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
@@ -48,6 +47,9 @@
     /** Returns the counts of requests by customer. */
     UsageLedger usage();
 
+    /** Returns what is known about the software versions at which streams began. */
+    StreamOrigins streamOrigins();
+
     /** Returns the limit of the memory for buffered responses. */
     ResponseMemory responseMemory();
 
@@ -66,19 +68,6 @@
      */
     long observedMillis();
 
-    /** Returns whether a service has an upstream that is not paused and to which a request has not been sent yet. */
-    default boolean hasUntriedUpstream(String service, Set<String> triedUpstreams) {
-        return upstreams().unpaused(service, nowMillis()).stream()
-                .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id()));
-    }
-
-    /** Returns whether a service has an upstream without recent failures to which a request has not been sent yet. */
-    default boolean hasHealthyUpstream(String service, Set<String> triedUpstreams, long nowMillis) {
-        return upstreams().unpaused(service, nowMillis).stream()
-                .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id())
-                        && !upstream.failureDetector().shouldAvoid(nowMillis));
-    }
-
     /** Returns the time after which a refused request may be sent again, in milliseconds. */
     default long retryAfterMillis(
             String service, Admission.Candidate candidate, Placement.Choice choice, long nowMillis) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeRecord.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeRecord.java
@@ -16,6 +16,7 @@
     private String prediction = "";
     private long firstEventMillis = -1;
     private long endedMillis;
+    private StreamOrigin origin = StreamOrigin.BEGINNING;
 
     ExchangeRecord(AdmittedRequest admitted, long startedMillis) {
         this.admitted = admitted;
@@ -27,7 +28,10 @@
                 .append(upstream.id())
                 .append(" at ")
                 .append(nowMillis - startedMillis)
-                .append(" ms, predicted ")
+                .append(" ms")
+                .append(upstream.version().isEmpty() ? "" : ", version ")
+                .append(upstream.version())
+                .append(", predicted ")
                 .append(predictedMillis)
                 .append(" ms");
     }
@@ -63,6 +67,20 @@
         firstEventMillis = nowMillis - startedMillis;
     }
 
+    /** Records what was found about the version at which the stream began. */
+    void recordOrigin(StreamOrigin found) {
+        origin = found;
+        reason = found.reason();
+    }
+
+    StreamOrigin origin() {
+        return origin;
+    }
+
+    String reason() {
+        return reason;
+    }
+
     void recordReason(String finalReason) {
         reason = finalReason;
     }
@@ -91,6 +109,11 @@
     }
 
     LogLine addTo(LogLine line) {
+        if (admitted.isResumption()) {
+            line.put("resumed", admitted.streamId().orElse(""))
+                    .put("stream_version", origin.version().orElse(""))
+                    .put("version_source", origin.source().label());
+        }
         return line.put("request", admitted.attributes().requestId())
                 .put("route", admitted.route().name())
                 .put("customer", admitted.customer().map(owner -> owner.name()).orElse(""))
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -103,6 +103,7 @@
     private final PeerExchange peerExchange;
     private final Shutdown shutdown;
     private final RolloutService rollouts;
+    private final StreamOriginService streamOrigins;
     private Channel callerListener;
     private long ticks;
 
@@ -179,6 +180,7 @@
         this.peerExchange = new PeerExchange(this, httpClient);
         this.shutdown = new Shutdown(this, bounds);
         this.rollouts = new RolloutService(this, zones, this::clusterMillis);
+        this.streamOrigins = new StreamOriginService(this, this::clusterMillis);
     }
 
     /**
@@ -193,7 +195,10 @@
         listen(settings.metricsAddress(), channel -> SimpleHttpServer.accept(channel, request -> metricsResponse()));
         listen(peerAddress(), channel -> SimpleHttpServer.accept(channel, this::peerResponse));
         peerExchange.open(loop);
-        log.add(log.line("started").put("incarnation", incarnation).put("zone", settings.zone()));
+        log.add(log.line("started")
+                .put("incarnation", incarnation)
+                .put("zone", settings.zone())
+                .put("first_start", settings.firstStart()));
         loop.execute(peerExchange::start);
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -275,7 +280,9 @@
         callerServer.tick(nowMillis, shutdown.idleDeadlineMillis(nowMillis));
         shutdown.tick(nowMillis);
         peerExchange.tick(nowMillis);
+        streamOrigins.tickSearches(nowMillis);
         if (ticks % 5 == 0) {
+            streamOrigins.tick(nowMillis);
             lease.tick(sync.isComplete() && !callerServer.isDraining() && peerExchange.isPreferredLeader(nowMillis));
             leaseLog.tick(store.era(), sync.storeHealth().isReachable());
             usageReporter.tick();
@@ -380,6 +387,7 @@
         AdmittedRequest admitted = record.admitted();
         String customer = admitted.customer().map(owner -> owner.name()).orElse("");
         metrics.recordRequest(admitted.route().name(), customer, record.outcome(), record.responseMillis());
+        streamOrigins.onExchangeEnded(record, nowMillis());
         if (record.succeededAtFirstAttempt() && !successLines.tryAcquire(nowMillis())) {
             return;
         }
@@ -536,6 +544,15 @@
         return rollouts;
     }
 
+    StreamOriginService streamOriginService() {
+        return streamOrigins;
+    }
+
+    @Override
+    public StreamOrigins streamOrigins() {
+        return streamOrigins.origins();
+    }
+
     @Override
     public RolloutTable rollouts() {
         return rollouts.table();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -228,6 +228,7 @@
             nextCountsMillis = nowMillis + COUNTS_INTERVAL_MILLIS;
             addUsageCounts(state, nowMillis);
         }
+        gateway.streamOriginService().addTo(state);
         state.addAllRollouts(gateway.rolloutService().gatewaySummaries(nowMillis));
         return state.addAllZoneFlows(
                         gateway.zoneTraffic().reportForPeers(gateway.peers().usesCells(), nowMillis))
@@ -271,6 +272,7 @@
     private void apply(GatewayState state, long now) {
         String process = state.getNode() + '#' + state.getIncarnation();
         gateway.rolloutService().applyGateway(process, state.getRolloutsList(), now);
+        gateway.streamOriginService().applyPeer(state, now);
         gateway.clock().update(state.getNode(), state.getWallClockMillis(), now);
         gateway.lease().recordPeerResignation(state.getResignedTerm());
         gateway.zoneTraffic().apply(state, process, now);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestAttributes.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestAttributes.java
@@ -15,6 +15,7 @@
  * @param maxOutputTokens the maximum number of tokens to generate; zero if not stated
  * @param prefix the parts of the prompt
  * @param lastEventId the identifier of the last event that the caller has received; empty for a new stream
+ * @param resumedRequestId the identifier of the request that brought the first event of the stream; empty if not stated
  */
 public record RequestAttributes(
         String requestId,
@@ -23,4 +24,5 @@
         OptionalInt promptTokens,
         int maxOutputTokens,
         PromptPrefix prefix,
-        OptionalLong lastEventId) {}
+        OptionalLong lastEventId,
+        Optional<String> resumedRequestId) {}
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOrigin.java
@@ -0,0 +1,53 @@
+package org.lovagethread.gateway.http;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * What a gateway knows about the software version at which the stream of a request began.
+ *
+ * @param source where the version is known from, or why it does not matter
+ * @param version the version; empty unless the stream must go on at it
+ * @param reason why the version is unknown; an empty string if it is known or does not matter
+ */
+record StreamOrigin(Source source, Optional<String> version, String reason) {
+    /** The request begins a stream, or is none. */
+    static final StreamOrigin BEGINNING = new StreamOrigin(Source.BEGINNING, Optional.empty(), "");
+
+    /** The service has had a single version for as long as a stream can last. */
+    static final StreamOrigin ONE_VERSION = new StreamOrigin(Source.ONE_VERSION, Optional.empty(), "");
+
+    /** Sources of the knowledge. */
+    enum Source {
+        /** The stream begins with this request. */
+        BEGINNING,
+        /** No other version could have begun the stream. */
+        ONE_VERSION,
+        /** The stream began at this gateway, or was taken up here before. */
+        MEMORY,
+        /** A gateway has stored where the stream began. */
+        STORE,
+        /** The version is unknown, and the stream cannot go on. */
+        NONE;
+
+        /** Returns the name for logs. */
+        String label() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+    }
+
+    /** Returns the origin of a stream whose version is known. */
+    static StreamOrigin known(Source source, String version) {
+        return new StreamOrigin(source, Optional.of(version), "");
+    }
+
+    /** Returns the origin of a stream whose version is unknown. */
+    static StreamOrigin unknown(String reason) {
+        return new StreamOrigin(Source.NONE, Optional.empty(), reason);
+    }
+
+    /** Returns whether the stream may go on, or begin. */
+    boolean isResolved() {
+        return source != Source.NONE;
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
@@ -3,9 +3,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
+import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.policy.Admission;
+import org.lovagethread.gateway.policy.AttemptOutcome;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.rollout.RolloutTable;
 import org.lovagethread.gateway.upstream.Upstream;
@@ -16,6 +19,7 @@
     private final ExchangeContext context;
     private final AdmittedRequest admitted;
     private final Placement.Demand demand;
+    private Optional<String> version = Optional.empty();
 
     /** Result of a selection. */
     sealed interface Selection {}
@@ -35,6 +39,42 @@
         this.demand = demand;
     }
 
+    /** Restricts the upstreams to those of the software version at which the stream began. */
+    void pin(String streamVersion) {
+        version = Optional.of(streamVersion);
+    }
+
+    /** Returns the error that a request gets which was sent to no upstream. */
+    ErrorKind errorKind(AttemptOutcome outcome) {
+        return version.isPresent() && outcome == AttemptOutcome.NOT_SENT
+                ? ErrorKind.VERSION_UNAVAILABLE
+                : outcome.errorKind();
+    }
+
+    /** Returns whether there is an upstream that is not paused and to which the request has not been sent yet. */
+    boolean hasUntried(Set<String> triedUpstreams) {
+        return untried(triedUpstreams, context.nowMillis()).findAny().isPresent();
+    }
+
+    /** Returns whether there is such an upstream without recent failures. */
+    boolean hasHealthyUntried(Set<String> triedUpstreams, long nowMillis) {
+        return untried(triedUpstreams, nowMillis)
+                .anyMatch(upstream -> !upstream.failureDetector().shouldAvoid(nowMillis));
+    }
+
+    private Stream<Upstream> untried(Set<String> triedUpstreams, long nowMillis) {
+        return ofVersion(context.upstreams().unpaused(admitted.service().name(), nowMillis)).stream()
+                .filter(upstream -> !triedUpstreams.contains(upstream.entry().id()));
+    }
+
+    private List<Upstream> ofVersion(List<Upstream> upstreams) {
+        return version.isEmpty()
+                ? upstreams
+                : upstreams.stream()
+                        .filter(upstream -> upstream.entry().version().equals(version.get()))
+                        .toList();
+    }
+
     /**
      * Selects an upstream.
      *
@@ -44,14 +84,7 @@
      * @return the selection
      */
     Selection select(Set<String> triedUpstreams, long remainingMillis, long nowMillis) {
-        String service = admitted.service().name();
-        RolloutTable.Candidates candidates = context.rollouts()
-                .candidates(
-                        service,
-                        context.upstreams().available(service),
-                        new RolloutTable.RequestKind(
-                                triedUpstreams.isEmpty(), admitted.route().isRetryable()),
-                        nowMillis);
+        RolloutTable.Candidates candidates = candidates(triedUpstreams, nowMillis);
         Selection selection = select(candidates.preferred(), triedUpstreams, remainingMillis, nowMillis);
         if (selection instanceof Send || candidates.fallback().isEmpty()) {
             return selection;
@@ -60,6 +93,17 @@
         return other instanceof Unavailable ? selection : other;
     }
 
+    private RolloutTable.Candidates candidates(Set<String> triedUpstreams, long nowMillis) {
+        String service = admitted.service().name();
+        List<Upstream> available = context.upstreams().available(service);
+        if (version.isPresent()) {
+            return context.rollouts().continuing(service, available, version.get(), nowMillis);
+        }
+        var kind = new RolloutTable.RequestKind(
+                triedUpstreams.isEmpty(), admitted.route().isRetryable());
+        return context.rollouts().candidates(service, available, kind, nowMillis);
+    }
+
     private Selection select(
             List<Upstream> candidates, Set<String> triedUpstreams, long remainingMillis, long nowMillis) {
         Route route = admitted.route();
@@ -94,7 +138,9 @@
      */
     long retryAfterMillis(long remainingMillis, long nowMillis) {
         return pauses().retryAfterMillis(
-                        context.upstreams().available(admitted.service().name()), nowMillis)
+                        ofVersion(
+                                context.upstreams().available(admitted.service().name())),
+                        nowMillis)
                 .orElseGet(() -> context.admission().defaultRetryAfterMillis(remainingMillis));
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -81,6 +81,11 @@
             .help("Upstreams that have requested a pause that has not ended, by service.")
             .labelNames("service")
             .register(registry);
+    private final Counter resumptions = Counter.builder()
+            .name("lovagethread_resumptions_total")
+            .help("Requests that took up a stream, by service, source of its version, and whether they were refused.")
+            .labelNames("service", "source", "refused")
+            .register(registry);
     private final Gauge stateGauges = Gauge.builder()
             .name("lovagethread_state")
             .help("State of the gateway by name.")
@@ -198,6 +203,17 @@
         pausedUpstreams.labelValues(service).set(count);
     }
 
+    /**
+     * Counts a request that took up a stream.
+     *
+     * @param service the name of its service
+     * @param source the label of the source from which the version of the stream is known
+     * @param refused whether it was refused because no upstream of that version could continue the stream
+     */
+    public void recordResumption(String service, String source, boolean refused) {
+        resumptions.labelValues(service, source, Boolean.toString(refused)).inc();
+    }
+
     /**
      * Sets a gauge of the state of the gateway.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/RolloutTable.java
@@ -153,6 +153,32 @@
         return current.candidates(old, targets, kind, nowMillis);
     }
 
+    /**
+     * Returns the upstreams that may continue a stream which began at a version. A version that lost its rollout receives
+     * none, and the one that is rolled out receives them only within its limits.
+     *
+     * @param service the name of the service
+     * @param available the upstreams of the service that can receive requests
+     * @param version the version
+     * @param nowMillis the current time in milliseconds
+     * @return the candidates, all of that version
+     */
+    public Candidates continuing(String service, List<Upstream> available, String version, long nowMillis) {
+        List<Upstream> remaining =
+                bounds.isEmpty() ? available : versions(service).withoutLosing(available);
+        List<Upstream> same = remaining.stream()
+                .filter(upstream -> upstream.entry().version().equals(version))
+                .toList();
+        ServiceRollout current = byService.get(service);
+        boolean isOnlyVersion = same.size() == remaining.size();
+        if (current == null
+                || isOnlyVersion
+                || !version.equals(current.rollout().target())) {
+            return new Candidates(same, List.of());
+        }
+        return new Candidates(current.continuing(same, nowMillis), List.of());
+    }
+
     /**
      * Records that an attempt is sent.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/rollout/ServiceRollout.java
@@ -130,10 +130,7 @@
             List<Upstream> others = kind.isRepeatable() ? old : List.of();
             return isControl ? new RolloutTable.Candidates(old, targets) : new RolloutTable.Candidates(targets, others);
         }
-        if (!targets.equals(plannedTargets)) {
-            plannedTargets = List.copyOf(targets);
-            canaries = CanaryPlan.canaries(rollout, targets);
-        }
+        planCanaries(targets);
         double burstShare = CanaryPlan.burstShare(canaries.size(), old.size());
         double share = limiter.share(rollout.progress(nowMillis) / RolloutDecision.EARLIEST_SHIFT);
         burst = CanaryPlan.isBurst(rollout, share, burstShare, nowMillis);
@@ -141,6 +138,26 @@
         return isCanary ? new RolloutTable.Candidates(canaries, old) : new RolloutTable.Candidates(old, List.of());
     }
 
+    /** Returns the upstreams of the target version that may continue a stream which began there. */
+    List<Upstream> continuing(List<Upstream> targets, long nowMillis) {
+        burst = false;
+        if (!isTargetPermitted(nowMillis)) {
+            return List.of();
+        }
+        if (stage != RolloutStage.CANARY) {
+            return targets;
+        }
+        planCanaries(targets);
+        return limiter.permits() ? canaries : List.of();
+    }
+
+    private void planCanaries(List<Upstream> targets) {
+        if (!targets.equals(plannedTargets)) {
+            plannedTargets = List.copyOf(targets);
+            canaries = CanaryPlan.canaries(rollout, targets);
+        }
+    }
+
     /** Records a sent request; returns the sample for its outcome if it is counted for one of the versions. */
     Optional<RolloutSample> recordSent(String route, Upstream upstream, long networkMillis, boolean isFirstAttempt) {
         boolean isTarget = upstream.entry().version().equals(rollout.target());
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectKind.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/ObjectKind.java
@@ -14,5 +14,7 @@
      */
     DUTIES,
     /** Orders of operators to move the traffic of a service to another version; gateways write their status. */
-    ROLLOUTS
+    ROLLOUTS,
+    /** Software versions at which streams began; gateways write them while a service has several versions. */
+    STREAMS
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -33,10 +33,12 @@
 import org.lovagethread.gateway.policy.PromptPrefix;
 import org.lovagethread.gateway.policy.PromptQuarantine;
 import org.lovagethread.gateway.policy.RetryBudget;
+import org.lovagethread.gateway.policy.StreamVersions;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.policy.ZoneTopology;
 import org.lovagethread.gateway.rollout.RolloutLog;
 import org.lovagethread.gateway.rollout.RolloutTable;
+import org.lovagethread.gateway.store.FakeStore;
 import org.lovagethread.gateway.upstream.PauseRequest;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -63,6 +65,15 @@
     long unobservedMillis;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
     PromptPrefix prefix = PromptPrefix.NONE;
+    final FakeStore store = new FakeStore();
+    boolean storeOutage;
+    final StreamVersions versions = new StreamVersions();
+    OptionalLong lastEventId = OptionalLong.empty();
+    Optional<String> resumedRequestId = Optional.empty();
+    private final StreamOriginLookup lookup =
+            new StreamOriginLookup(store, this::nowMillis, processed -> {}, () -> storeOutage);
+    private final StreamOrigins streamOrigins =
+            new StreamOrigins(versions, upstreams, lookup, this::gatewayCount, this::nowMillis);
     String response = "";
     Optional<RuntimeException> responseFailure = Optional.empty();
     Optional<RuntimeException> sendFailure = Optional.empty();
@@ -172,7 +183,8 @@
                 OptionalInt.empty(),
                 0,
                 prefix,
-                OptionalLong.empty());
+                lastEventId,
+                resumedRequestId);
     }
 
     @Override
@@ -315,6 +327,11 @@
         return usage;
     }
 
+    @Override
+    public StreamOrigins streamOrigins() {
+        return streamOrigins;
+    }
+
     @Override
     public ResponseMemory responseMemory() {
         return responseMemory;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutTableTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/rollout/RolloutTableTest.java
@@ -140,6 +140,57 @@
         }
     }
 
+    @Nested
+    class StreamsThatGoOn {
+        private List<String> continuing(String version, long nowMillis) {
+            return table.continuing("desk", upstreams, version, nowMillis).preferred().stream()
+                    .map(upstream -> upstream.entry().version())
+                    .distinct()
+                    .toList();
+        }
+
+        /** Guards against streams joined from two versions. */
+        @Test
+        void doSoOnlyAtTheirVersion() {
+            add("v1", 2);
+            add("v2", 2);
+            assertThat(continuing("v1", 0)).containsExactly("v1");
+            assertThat(continuing("v2", 0)).containsExactly("v2");
+            assertThat(continuing("v3", 0)).isEmpty();
+            table.applyOrder(order("v2"), 5, 0);
+            assertThat(continuing("v1", 0)).containsExactly("v1");
+        }
+
+        /** Guards against resumed streams that exceed the share of the target version. */
+        @Test
+        void stayWithinTheShareOfTheGatewayAtTheTarget() {
+            add("v1", 4);
+            add("v2", 4);
+            table.applyOrder(order("v2"), 5, 0);
+            int target = 0;
+            for (int requests = 1; requests <= 1_000; requests++) {
+                List<Upstream> same =
+                        table.continuing("desk", upstreams, "v2", requests).preferred();
+                Upstream upstream = same.isEmpty() ? upstreams.get(0) : same.get(0);
+                table.recordSent("desk", "r", upstream, true);
+                target += same.isEmpty() ? 0 : 1;
+                assertThat(target).isLessThanOrEqualTo((int) (0.1 * requests) + 1);
+            }
+            assertThat(target).isGreaterThan(50);
+        }
+
+        /** Guards against resumed streams at a version that lost its rollout. */
+        @Test
+        void areNotSentToALosingVersion() {
+            add("v1", 2);
+            add("v2", 2);
+            table.applyOrder(order("v2"), 5, 0);
+            table.advance("desk", RolloutStage.ROLLED_BACK, 10);
+            assertThat(continuing("v2", 20)).isEmpty();
+            assertThat(continuing("v1", 20)).containsExactly("v1");
+        }
+    }
+
     @Nested
     class Ends {
         /** Guards against requests to the losing version after the end, also during the next rollout. */
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
@@ -110,11 +110,10 @@
     public void replace(
             ObjectKind kind, StoredObject expected, JsonNode content, Consumer<StoreReply<StoredObject>> reply) {
         StoredObject existing = objects.get(kind + expected.name());
-        if (unavailable || existing == null || existing.revision() != expected.revision()) {
-            answer(
-                    reply,
-                    existing == null ? StoreReply.of(Status.MISSING) : StoreReply.of(Status.CONFLICT, existing),
-                    false);
+        if (unavailable || existing == null) {
+            answer(reply, StoreReply.of(Status.MISSING), false);
+        } else if (existing.revision() != expected.revision()) {
+            answer(reply, StoreReply.of(Status.CONFLICT, existing), false);
         } else {
             answer(reply, StoreReply.of(Status.OK, put(kind, expected.name(), content)), true);
         }
