--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -76,10 +76,10 @@
     private final TokenQuota quota;
     private final ClusterClock clock = new ClusterClock();
     private final LogRateLimiter successLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
-    private final LogRateLimiter refusedLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
     private final LogRateLimiter failureLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
     private final ResponseMemory responseMemory =
             new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFERED_RESPONSES);
+    private final RefusalReporter refusals;
     private final CrashReporter crashReporter;
     private final UpstreamSpeedMonitor speedMonitor;
     private final PauseReporter pauseReporter;
@@ -140,6 +140,7 @@
                 new PooledHttpClient(loop, settings.bounds().silenceTimeouts());
         this.ports = portsFactory.apply(httpClient);
         this.store = new EraStore(ports.store(), log);
+        this.refusals = new RefusalReporter(log, metrics, ports.headerCodec());
         GatewaySettings.Bounds bounds = settings.bounds();
         ZoneTopology zones = new ZoneTopology(settings.zone(), settings.regionByZone());
         this.addressPolicy = new AddressPolicy(zones);
@@ -351,16 +352,7 @@
     }
 
     void recordRefusal(HttpRequest request, Refusal refusal, long version) {
-        metrics.recordRefusal(refusal.kind().label());
-        if (!refusedLines.tryAcquire(nowMillis())) {
-            return;
-        }
-        log.add(log.line("request-refused")
-                .put("omitted_before", refusedLines.resetOmitted())
-                .put("request", ports.headerCodec().readAttributes(request).requestId())
-                .put("outcome", refusal.kind().label())
-                .put("configuration", version)
-                .put("retry_after_ms", refusal.retryAfterMillis()));
+        refusals.report(request, refusal, version, nowMillis());
     }
 
     /** Logs an exception that ended a caller's connection while a request was in progress. */
