Learn the era of the store from peers

A gateway that receives upstreams from a peer removed those that the restored store lacked for a moment, marked them as gone for its peers, too, and did not register again.

Cause: such a gateway makes no call to the store that would tell it of the restore.

Change: the version of upstreams in the state of a peer tells its era; a later one than known is a restore, as in a reply.

Measured: EraStoreTest.Restores; the chain over a speaker and a follower was found by reading and is not played.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -21,6 +21,7 @@
 import org.lovagethread.gateway.peer.PeerTable.Peer;
 import org.lovagethread.gateway.policy.AddressPolicy.GatewayAddress;
 import org.lovagethread.gateway.store.StateSync;
+import org.lovagethread.gateway.store.StoreVersion;
 import org.lovagethread.gateway.upstream.LeavingMark;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
@@ -275,6 +276,9 @@
         gateway.streamOriginService().applyPeer(state, now);
         gateway.clock().update(state.getNode(), state.getWallClockMillis(), now);
         gateway.lease().recordPeerResignation(state.getResignedTerm());
+        if (state.getUpstreamsRevision() >= 0) {
+            gateway.store().learn(StoreVersion.era(state.getUpstreamsRevision()));
+        }
         gateway.zoneTraffic().apply(state, process, now);
         LeavingMarkCodec.applyPeer(
                         state.getLeavingUpstreamsList(),
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/EraStore.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/EraStore.java
@@ -11,9 +11,9 @@
 /**
  * A store whose objects, lists and changes bear {@link StoreVersion versions} instead of revisions.
  *
- * <p>Follows the era that the replies name. A reply of an earlier era tells nothing about the store any more, and is
- * reported as a missing one. A call that depends on a version of an earlier era cannot succeed: a watch reports that its history
- * is gone, and a conditional write reports a conflict.
+ * <p>Follows the era that the replies and the peers name. A reply of an earlier era tells nothing about the store any
+ * more, and is reported as a missing one. A call that depends on a version of an earlier era cannot succeed: a watch
+ * reports that its history is gone, and a conditional write reports a conflict.
  *
  * <p>Not thread-safe: used on the gateway's event loop only.
  */
@@ -55,6 +55,16 @@
         listeners.add(listener);
     }
 
+    /**
+     * Takes up an era that a peer knows.
+     *
+     * @param peerEra the era of the store in which the peer has read something
+     */
+    public void learn(long peerEra) {
+        enter(peerEra);
+        isEraKnown = true;
+    }
+
     @Override
     public void list(ObjectKind kind, String afterName, Consumer<StoreReply<Page>> reply) {
         store.list(kind, afterName, raw -> reply.accept(translate(raw, this::toVersionedPage)));
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/EraStoreTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/EraStoreTest.java
@@ -204,4 +204,47 @@
             assertThat(scripted.watchedRevisions).isEmpty();
         }
     }
+
+    @Nested
+    class Restores {
+        private int restores;
+
+        private void listen() {
+            store.onRestore(() -> restores++);
+        }
+
+        @Test
+        void areNotSeenInFirstReply() {
+            listen();
+            read(found(4, 1));
+            assertThat(restores).isZero();
+        }
+
+        @Test
+        void areSeenInReplies() {
+            listen();
+            read(found(4, 1));
+            read(found(5, 1));
+            read(found(5, 2));
+            assertThat(restores).isEqualTo(1);
+        }
+
+        @Test
+        void areLearntFromPeers() {
+            listen();
+            read(found(4, 1));
+            store.learn(4);
+            store.learn(5);
+            assertThat(restores).isEqualTo(1);
+            assertThat(read(found(4, 9)).status()).isEqualTo(Status.NO_ANSWER);
+        }
+
+        @Test
+        void areSeenOnceErasAreNamed() {
+            listen();
+            read(StoreReply.of(Status.OK, new StoredObject("a", 1, TextNode.valueOf("x"))));
+            read(found(1, 1));
+            assertThat(restores).isEqualTo(1);
+        }
+    }
 }
