Let a mark of an earlier era not outlast its time

A sound upstream stayed excluded after a restore of the store, until its entry changed.

Cause: marks of upstreams that have left apply to their entries of later eras, and an entry that a mark has changed was not changed back when the mark expired. An upstream that was missing before and after the restore was marked with a version of the earlier era, so that its later entry did not refute the mark.

Change: when a mark of an earlier era expires, an upstream that is still listed is used again. The grace period of a missing entry takes the version of the later era.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/LeavingMark.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/LeavingMark.java
@@ -7,9 +7,9 @@
 /**
  * Identifies one process of an upstream that is leaving.
  *
- * <p>A process that has announced its shutdown is leaving for good. A process whose entry was removed has left unless it
- * is listed again at a later revision. Once the store has come back from an older copy, its entry may be listed although it has
- * left, so the mark applies to all entries of later eras.
+ * <p>A process that has announced its shutdown is leaving for good. A process whose entry was removed has left unless
+ * it is listed again at a later revision. Once the store has come back from an older copy, its entry may be listed
+ * although it has left, so the mark applies to all entries of later eras.
  *
  * @param upstreamId the identifier of the upstream
  * @param startedAtMillis the start time of its process in milliseconds since the epoch
@@ -97,6 +97,16 @@
         return upstreamId.equals(entry.id()) && startedAtMillis == entry.startedAtMillis();
     }
 
+    /**
+     * Returns whether the store has come back from an older copy since the mark.
+     *
+     * @param version the version of an entry
+     * @return true if the entry is of a later era of the store
+     */
+    public boolean isOfEarlierEra(long version) {
+        return !isAnnounced() && StoreVersion.era(version) > StoreVersion.era(lastRevision);
+    }
+
     /**
      * Returns whether an entry of the process shows that it has not left.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/Upstream.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/Upstream.java
@@ -9,6 +9,7 @@
     private final UpstreamSpeed speed = new UpstreamSpeed();
     private final StallDetector stall = new StallDetector();
     private UpstreamEntry entry;
+    private UpstreamEntry listedEntry;
     private long lastReceivedMillis;
     private long revision;
     private boolean announcedLeaving;
@@ -20,6 +21,7 @@
      */
     public Upstream(UpstreamEntry entry) {
         this.entry = entry;
+        this.listedEntry = entry;
     }
 
     /**
@@ -40,6 +42,24 @@
         entry = newEntry;
     }
 
+    /**
+     * Returns the registration as it was listed, which leaving marks do not change.
+     *
+     * @return the latest entry of the store
+     */
+    public UpstreamEntry listedEntry() {
+        return listedEntry;
+    }
+
+    /**
+     * Replaces the registration as it was listed.
+     *
+     * @param newEntry the latest entry of the store
+     */
+    public void listedEntry(UpstreamEntry newEntry) {
+        listedEntry = newEntry;
+    }
+
     /**
      * Returns the revision of the registration.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.lovagethread.gateway.store.StoreVersion;
 
 /**
  * Stores the upstreams that can receive requests, from their entries in the store and from messages of peers.
@@ -33,7 +34,12 @@
     private final Map<LeavingMark, Long> leavingMarkDeadlines = new LinkedHashMap<>();
 
     /** Period in which a missing entry is kept. */
-    private record Grace(long endMillis, long removedRevision) {}
+    private record Grace(long endMillis, long removedRevision) {
+        /** Returns the other period if the entry was found missing in a later era of the store, otherwise this one. */
+        Grace inLaterEra(Grace other) {
+            return StoreVersion.era(other.removedRevision) > StoreVersion.era(removedRevision) ? other : this;
+        }
+    }
 
     /**
      * Adds or updates an entry.
@@ -59,6 +65,7 @@
         }
         boolean changed = !sameProcess || !existing.entry().equals(effective);
         existing.entry(effective);
+        existing.listedEntry(entry);
         existing.revision(revision);
         existing.announcedLeaving(leavingMarkDeadlines.containsKey(LeavingMark.announced(entry)) || announced);
         return changed;
@@ -79,7 +86,7 @@
         }
         long graceEndMillis = storeRecoveredMillis + RECOVERY_GRACE_MILLIS;
         if (nowMillis < graceEndMillis) {
-            graceById.putIfAbsent(id, new Grace(graceEndMillis, revision));
+            graceById.merge(id, new Grace(graceEndMillis, revision), Grace::inLaterEra);
             return false;
         }
         delete(id, revision, nowMillis);
@@ -166,10 +173,28 @@
             });
         }
         removed.forEach(id -> delete(id, graceById.get(id).removedRevision(), nowMillis));
-        leavingMarkDeadlines.values().removeIf(deadline -> nowMillis >= deadline);
+        expireMarks(nowMillis);
         return removed;
     }
 
+    /**
+     * Removes expired marks. An upstream that is still listed although a mark of an earlier era applied has not left.
+     */
+    private void expireMarks(long nowMillis) {
+        List<LeavingMark> expired = leavingMarkDeadlines.entrySet().stream()
+                .filter(entry -> nowMillis >= entry.getValue())
+                .map(Map.Entry::getKey)
+                .toList();
+        leavingMarkDeadlines.keySet().removeAll(expired);
+        for (LeavingMark mark : expired) {
+            find(mark.upstreamId())
+                    .filter(upstream -> mark.concerns(upstream.entry()) && !upstream.hasAnnouncedLeaving())
+                    .filter(upstream -> mark.isOfEarlierEra(upstream.revision()))
+                    .filter(upstream -> !isMarked(upstream.entry(), upstream.revision()))
+                    .ifPresent(upstream -> upstream.entry(upstream.listedEntry()));
+        }
+    }
+
     /**
      * Returns an upstream by its id.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/upstream/UpstreamTableTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/upstream/UpstreamTableTest.java
@@ -178,6 +178,25 @@
             assertThat(table.available("pool")).hasSize(1);
         }
 
+        @Test
+        void excludesUpstreamThatIsStillListedNoLongerThanItsMark() {
+            table.put(entry("i-1", false, 1), StoreVersion.of(1, 50), 0);
+            table.remove("i-1", StoreVersion.of(1, 60), NEVER, 10);
+            table.put(entry("i-1", false, 1), StoreVersion.of(2, 55), 20);
+            table.expire(true, NEVER, 10 + UpstreamTable.LEAVING_MARK_MILLIS);
+            assertThat(table.available("pool")).hasSize(1);
+        }
+
+        @Test
+        void doesNotExcludeUpstreamThatIsWrittenAgainAfterItsGracePeriod() {
+            table.put(entry("i-1", false, 1), StoreVersion.of(1, 50), 0);
+            table.remove("i-1", StoreVersion.of(1, 60), 5_000, 5_100);
+            table.replaceAll(List.of(), StoreVersion.of(2, 40), 5_500, 5_600);
+            assertThat(table.expire(true, 5_500, 7_600)).containsExactly("i-1");
+            table.put(entry("i-1", false, 1), StoreVersion.of(2, 45), 7_700);
+            assertThat(table.available("pool")).hasSize(1);
+        }
+
         @Test
         void doesNotExcludeUpstreamThatWasListedAgainBefore() {
             table.put(entry("i-1", false, 1), StoreVersion.of(1, 50), 0);
