Omit reports of all windows that ended before the era of the store began

Cause: a window was omitted only if its report could have been stored more than a second before the restore; the clocks of two gateways can differ by more while few peers are heard.

Change: windows that ended before the era began are omitted, which allows for a difference of the collection time of 2.5 s; the time by which the era began is the later of two measurements.

Measured: the tests of usage reports and the model of the lease pass; no test has clocks that differ.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
@@ -19,8 +19,9 @@
  * Acquires and renews the lease that permits one gateway to perform the duties.
  *
  * <p>The holder counts its deadline from the time before each renewal was sent. Another gateway takes the lease over
- * after it has observed the object, or its absence, unchanged for longer than the lease duration. The fencing token of a term is the
- * {@link StoreVersion version} of the write that began it, so no two terms have the same one, and later terms have higher ones.
+ * after it has observed the object, or its absence, unchanged for longer than the lease duration. The fencing token
+ * of a term is the {@link StoreVersion version} of the write that began it, so no two terms have the same one, and
+ * later terms have higher ones.
  *
  * <p>A term ends with the era of the store in which it began. An object that was written in an earlier era, or that is
  * missing, does not tell which terms have begun since. It is therefore never available before the takeover delay has
@@ -81,6 +82,7 @@
     private long observedSinceMillis;
     private long observedEra = NO_VERSION;
     private long eraObservedMillis;
+    private long eraObservedClusterMillis;
     private long releaseMillis = Long.MAX_VALUE;
     private long nextCallMillis;
     private long callSentMillis;
@@ -238,8 +240,8 @@
     }
 
     /**
-     * Starts no further call, and releases the lease as soon as all calls have ended, so that another gateway can acquire it
-     * then. The lease is not acquired again.
+     * Starts no further call, and releases the lease as soon as all calls have ended, so that another gateway can
+     * acquire it then. The lease is not acquired again.
      */
     public void release() {
         releaseMillis = clocks.monotonicMillis() + CALL_MARGIN_MILLIS;
@@ -303,6 +305,7 @@
         if (StoreVersion.era(version) != observedEra) {
             observedEra = StoreVersion.era(version);
             eraObservedMillis = now;
+            eraObservedClusterMillis = clocks.clusterMillis();
         }
     }
 
@@ -330,7 +333,9 @@
         termCount++;
         long eraSinceMillis = object.filter(DutyLease::isOfItsEra)
                 .map(found -> found.content().path(ERA_SINCE).asLong())
-                .orElseGet(() -> clocks.clusterMillis() - (clocks.monotonicMillis() - eraObservedMillis));
+                .orElseGet(() -> Math.max(
+                        eraObservedClusterMillis,
+                        clocks.clusterMillis() - (clocks.monotonicMillis() - eraObservedMillis)));
         written = Optional.of(new Term(holder + '#' + termCount, storeEra.getAsLong(), eraSinceMillis));
         writtenToken = OptionalLong.empty();
         write(object, 0);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/FleetManager.java
@@ -237,7 +237,9 @@
         return reclaimed;
     }
 
-    /** Returns the number of reclaimable instances that will run in a zone when those of the last order have started. */
+    /**
+     * Returns the number of reclaimable instances that will run in a zone when those of the last order have started.
+     */
     private int starting(ServiceSpec service, String zone, long nowMillis) {
         OrderTarget target = new OrderTarget(service.name(), zone, true);
         return nowMillis < startDeadlineMillis.getOrDefault(target, 0L) ? startingCounts.getOrDefault(target, 0) : 0;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageReporter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageReporter.java
@@ -19,9 +19,9 @@
 /**
  * Reports the usage of each window while this gateway holds the lease.
  *
- * <p>The counts of a window are stored before they are first sent, so that a successor sends the same counts. A store that comes
- * back from an older copy may have lost them, so a window that may have been reported in an earlier era of the store is
- * not reported again.
+ * <p>The counts of a window are stored before they are first sent, so that a successor sends the same counts. A store
+ * that comes back from an older copy may have lost them, so a window that may have been reported in an earlier era of
+ * the store is not reported again.
  */
 public final class UsageReporter {
     /** Time after the end of a window within which the counts of all gateways arrive, in milliseconds. */
@@ -30,9 +30,6 @@
     /** Delay between two attempts, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 400;
 
-    /** Maximum difference between the cluster times of two gateways, in milliseconds. */
-    private static final long CLOCK_TOLERANCE_MILLIS = 1_000;
-
     private static final String PREFIX = "usage-";
     private static final String REQUESTS = "requests";
 
@@ -110,7 +107,8 @@
     }
 
     private void reportOrOmit(long window) {
-        if (ledger.endMillis(window) + COLLECTION_MILLIS - CLOCK_TOLERANCE_MILLIS > eraSinceMillis.getAsLong()) {
+        // No report is stored before the collection time has passed, which allows for differences between clocks.
+        if (ledger.endMillis(window) > eraSinceMillis.getAsLong()) {
             report(window);
             return;
         }
