Name the stored streams of a process by its address, too

Cause: two processes of one node name that started in the same millisecond shared the names of their objects; the second overwrote what the first had stored, whose streams could then not go on.

Change: the name of a process has the address of its instance, as that of a holder of the lease.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginService.java
@@ -29,7 +29,7 @@
     StreamOriginService(Gateway gateway, LongSupplier clusterTime) {
         this.gateway = gateway;
         ObjectStore store = gateway.store();
-        String process = gateway.settings().node() + '-' + gateway.incarnation();
+        String process = gateway.settings().node() + '-' + gateway.settings().host() + '-' + gateway.incarnation();
         this.lookup = new StreamOriginLookup(
                 store,
                 clusterTime,
