Store all streams again although a write is under way at the restore

Cause: a write that was under way when the store came back from an older copy completed after that, and its streams counted as all that is stored.

Change: the reply to a write that began before does not count.

Measured: the tests of stored streams pass; the sequence itself is not tested.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginStore.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginStore.java
@@ -45,6 +45,7 @@
     private long nextCallMillis = Long.MIN_VALUE;
     private long calls;
     private long storeRecoveredMillis;
+    private long storings;
 
     private record ClosedChunk(String name, long expiryMillis) {}
 
@@ -144,21 +145,27 @@
             chunkEndMillis = nowMillis + CHUNK_MILLIS;
         }
         latestWriteMillis = nowMillis;
+        long storing = storings;
         var content = StreamOriginCodec.encode(clusterClock.getAsLong() + versions.lifetimeMillis(), streams);
         if (chunk.isPresent()) {
-            store.replace(ObjectKind.STREAMS, chunk.get(), content, reply -> onWritten(sequences, reply));
+            store.replace(ObjectKind.STREAMS, chunk.get(), content, reply -> onWritten(storing, sequences, reply));
         } else {
             store.create(
-                    ObjectKind.STREAMS, process + '-' + chunkNumber, content, reply -> onWritten(sequences, reply));
+                    ObjectKind.STREAMS,
+                    process + '-' + chunkNumber,
+                    content,
+                    reply -> onWritten(storing, sequences, reply));
         }
     }
 
-    private void onWritten(Map<String, Long> sequences, StoreReply<StoredObject> reply) {
+    private void onWritten(long storing, Map<String, Long> sequences, StoreReply<StoredObject> reply) {
         callPending = false;
         storeCallListener.accept(reply.isProcessed());
         if (reply.status() == Status.OK && reply.value().isPresent()) {
             chunk = reply.value();
-            storedSequences.putAll(sequences);
+            if (storing == storings) {
+                storedSequences.putAll(sequences);
+            }
         } else if (reply.status() == Status.CONFLICT && reply.value().isPresent()) {
             chunk = reply.value();
             storeAllAnew();
@@ -170,6 +177,7 @@
 
     /** Lets the next write have all streams, since the store may have lost what it had acknowledged. */
     private void storeAllAnew() {
+        storings++;
         storedSequences.clear();
         chunkStarts.clear();
     }
