Trust what a peer knows only for the version that it names

What clients would see: a stream joined from two versions, if a gateway starts beside a peer whose list is behind.

Cause: a peer stated that it knows all versions, and of no service more than one, but not which one.

Change: the state of a gateway names the version of each service of which it has seen one only; a gateway that trusts a peer counts that version among those that it has seen.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/StreamVersions.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/StreamVersions.java
@@ -32,12 +32,21 @@
     private static final class Service {
         private final BegunStreams streams = new BegunStreams();
         private final Map<String, Long> listedMillis = new HashMap<>();
+        private final Map<String, Long> listedByPeersMillis = new HashMap<>();
         private OptionalLong mixedAtPeersMillis = OptionalLong.empty();
 
         private boolean isMixedAtPeers(long nowMillis) {
             return mixedAtPeersMillis.isPresent()
                     && nowMillis - mixedAtPeersMillis.getAsLong() <= PEER_STATEMENT_MILLIS;
         }
+
+        /** Returns the versions that this gateway has listed in the last lifetime, and its peers state lately. */
+        private Set<String> versions(long nowMillis) {
+            listedByPeersMillis.values().removeIf(millis -> nowMillis - millis > PEER_STATEMENT_MILLIS);
+            Set<String> all = new TreeSet<>(listedMillis.keySet());
+            all.addAll(listedByPeersMillis.keySet());
+            return all;
+        }
     }
 
     /**
@@ -99,12 +108,18 @@
      *
      * @param isPeerComplete whether the peer knows all versions that had upstreams in the last lifetime
      * @param mixedServices the names of the services of which it has seen several
+     * @param versions the version that it has seen of each other service
      * @param nowMillis the current time in milliseconds
      */
-    public void recordPeer(boolean isPeerComplete, Collection<String> mixedServices, long nowMillis) {
+    public void recordPeer(
+            boolean isPeerComplete, Collection<String> mixedServices, Map<String, String> versions, long nowMillis) {
         mixedServices.forEach(name -> service(name).mixedAtPeersMillis = OptionalLong.of(nowMillis));
-        // What this gateway lists from now on completes the knowledge of the peer.
-        complete |= isPeerComplete && mixedServices.isEmpty() && firstObservedMillis.isPresent();
+        versions.forEach((name, version) -> service(name).listedByPeersMillis.put(version, nowMillis));
+        if (!complete && isPeerComplete && mixedServices.isEmpty() && firstObservedMillis.isPresent()) {
+            // What this gateway lists from now on completes the knowledge of the peer.
+            complete = true;
+            versions.forEach((name, version) -> service(name).listedMillis.put(version, nowMillis));
+        }
     }
 
     /**
@@ -125,7 +140,31 @@
      */
     public boolean isMixed(String service, long nowMillis) {
         Service known = byName.get(service);
-        return known != null && (known.listedMillis.size() > 1 || known.isMixedAtPeers(nowMillis));
+        return known != null && (known.versions(nowMillis).size() > 1 || known.isMixedAtPeers(nowMillis));
+    }
+
+    /**
+     * Returns the version of a service that has had upstreams of only one here.
+     *
+     * @param service the name of the service
+     * @return the version; empty if there is none, or if there are several
+     */
+    public Optional<String> onlyVersion(String service) {
+        Service known = byName.get(service);
+        return known == null || known.listedMillis.size() != 1
+                ? Optional.empty()
+                : Optional.of(known.listedMillis.keySet().iterator().next());
+    }
+
+    /**
+     * Returns the version of each service of which this gateway itself has seen one only, for its peers.
+     *
+     * @return the versions by the names of the services
+     */
+    public Map<String, String> onlyVersionsSeenHere() {
+        Map<String, String> versions = new HashMap<>();
+        byName.keySet().forEach(name -> onlyVersion(name).ifPresent(version -> versions.put(name, version)));
+        return versions;
     }
 
     /**
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/StreamVersionsTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/StreamVersionsTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -40,7 +41,7 @@
         void isNotClaimedBeforeTheFirstList() {
             versions.longestTimeout(TIMEOUT_MILLIS);
             versions.observe(upstreams(), 0);
-            versions.recordPeer(true, Set.of(), 10);
+            versions.recordPeer(true, Set.of(), Map.of(), 10);
             versions.observe(upstreams(), 10 * LIFETIME_MILLIS);
             assertThat(versions.isComplete()).isFalse();
         }
@@ -59,7 +60,7 @@
         void isNotAdoptedFromAPeerWithSeveralVersions() {
             versions.longestTimeout(TIMEOUT_MILLIS);
             versions.observe(upstreams("1"), 0);
-            versions.recordPeer(true, Set.of("pool"), 10);
+            versions.recordPeer(true, Set.of("pool"), Map.of(), 10);
             assertThat(versions.isComplete()).isFalse();
             assertThat(versions.isMixed("pool", 20)).isTrue();
         }
