Take a missing lease at once at the first start of the whole system

Cause: the delay is for holders that may be unknown; at the first start of the whole system there can be none.

Change: if the settings tell that the whole system starts for the first time, a missing lease is taken at once in the first 5 s of a process, unless it has seen two eras of the store.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/DutyLease.java
@@ -81,6 +81,8 @@
     private long observedVersion = NO_VERSION;
     private long observedSinceMillis;
     private long observedEra = NO_VERSION;
+    private long firstEra;
+    private long absenceTrustedUntilMillis = Long.MIN_VALUE;
     private long eraObservedMillis;
     private long eraObservedClusterMillis;
     private long releaseMillis = Long.MAX_VALUE;
@@ -158,6 +160,14 @@
         this.storeCallListener = storeCallListener;
     }
 
+    /**
+     * Records that the whole system starts for the first time, so that no gateway has held the lease before. The lease
+     * need not have been missing for the takeover delay then, unless the store comes back from an older copy meanwhile.
+     */
+    public void markFirstStart() {
+        absenceTrustedUntilMillis = clocks.monotonicMillis() + TAKEOVER_DELAY_MILLIS;
+    }
+
     /**
      * Returns the fencing token if a call may be started now.
      *
@@ -198,6 +208,7 @@
      */
     public void tick(boolean candidate) {
         long now = clocks.monotonicMillis();
+        followFirstEra();
         if (held.isPresent() && !isHeld()) {
             expire(held.get());
         }
@@ -292,10 +303,19 @@
             return;
         }
         Optional<StoredObject> object = reply.value();
+        followFirstEra();
         observe(object.map(StoredObject::revision).orElse(StoreVersion.of(storeEra.getAsLong(), 0)));
         availability(object).ifPresent(reason -> acquire(object, reason));
     }
 
+    private void followFirstEra() {
+        long era = storeEra.getAsLong();
+        if (firstEra > 0 && era != firstEra) {
+            absenceTrustedUntilMillis = Long.MIN_VALUE;
+        }
+        firstEra = firstEra > 0 ? firstEra : era;
+    }
+
     private void observe(long version) {
         long now = clocks.monotonicMillis();
         if (version != observedVersion) {
@@ -303,6 +323,7 @@
             observedSinceMillis = now;
         }
         if (StoreVersion.era(version) != observedEra) {
+            absenceTrustedUntilMillis = observedEra == NO_VERSION ? absenceTrustedUntilMillis : Long.MIN_VALUE;
             observedEra = StoreVersion.era(version);
             eraObservedMillis = now;
             eraObservedClusterMillis = clocks.clusterMillis();
@@ -319,6 +340,9 @@
         if (current.filter(found -> peerResignedTerms.contains(termOf(found))).isPresent()) {
             return Optional.of("resigned");
         }
+        if (object.isEmpty() && clocks.monotonicMillis() < absenceTrustedUntilMillis) {
+            return Optional.of("first-start");
+        }
         if (clocks.monotonicMillis() - observedSinceMillis < TAKEOVER_DELAY_MILLIS) {
             return Optional.empty();
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -154,6 +154,9 @@
         this.lease = new DutyLease(
                 store, store::era, settings.node() + '@' + settings.host() + '#' + incarnation, this, sync::recordCall);
         this.leaseLog = new LeaseLog(lease, log);
+        if (settings.firstStart()) {
+            lease.markFirstStart();
+        }
         this.usageReporter = new UsageReporter(
                 store,
                 ports.duties(),
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/DutyLeaseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/DutyLeaseTest.java
@@ -119,6 +119,42 @@
         }
     }
 
+    @Nested
+    class FirstStart {
+        private final FakeStore.Copy empty = store.copy();
+
+        @Test
+        void letsFirstCandidateAcquireLeaseAtOnce() {
+            one.lease.markFirstStart();
+            one.run(200, true);
+            assertThat(one.lease.isHeld()).isTrue();
+        }
+
+        @Test
+        void doesNotShortenDelayAfterRestore() {
+            one.lease.markFirstStart();
+            two.lease.markFirstStart();
+            store.restore(empty);
+            two.eraStore.read(ObjectKind.CONFIGURATION, "main", reply -> {});
+            two.run(200, false);
+            one.run(400, true);
+            assertThat(one.lease.isHeld()).isTrue();
+            store.restore(empty);
+            two.run(DutyLease.TAKEOVER_DELAY_MILLIS - 500, true);
+            assertThat(two.lease.isHeld()).isFalse();
+        }
+
+        @Test
+        void doesNotShortenDelayLater() {
+            one.lease.markFirstStart();
+            one.run(DutyLease.TAKEOVER_DELAY_MILLIS, false);
+            one.run(DutyLease.TAKEOVER_DELAY_MILLIS, true);
+            assertThat(one.lease.isHeld()).isFalse();
+            one.run(1_200, true);
+            assertThat(one.lease.isHeld()).isTrue();
+        }
+    }
+
     @Nested
     class Release {
         @Test
