--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/DutyLeaseRestoreTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/DutyLeaseRestoreTest.java
@@ -48,7 +48,7 @@
         }
 
         @Test
-        void neverReturnDutiesToMachineSoonAfterItLostThem() {
+        void neverReturnDutiesToInstanceSoonAfterItLostThem() {
             assertNo(Violation.ALTERNATING_HOLDERS);
         }
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/DutyPlatform.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/DutyPlatform.java
@@ -6,7 +6,7 @@
 
 /** Receiver of duty calls, which checks their fencing tokens in the order of arrival. */
 final class DutyPlatform {
-    /** Time within which two machines may not act in turn, in milliseconds. */
+    /** Time within which two instances may not act in turn, in milliseconds. */
     private static final long LEASE_MILLIS = 3_000;
 
     private final VirtualTime time;
@@ -24,7 +24,7 @@
         LOWER_TOKEN,
         /** A call that was under way when its sender released the lease arrives after one of the successor. */
         RELEASED_EARLY,
-        /** A machine acts, then another one, then the first one again with a higher token, all within a short time. */
+        /** An instance acts, then another one, then the first one again with a higher token, all within a short time. */
         ALTERNATING_HOLDERS,
         /** A holder takes its era to have begun earlier than it did. */
         ERA_START_TOO_EARLY,
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/LeaseFault.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/LeaseFault.java
@@ -45,7 +45,7 @@
             node.process().ifPresent(process -> process.freeze(untilMillis));
         }
     },
-    /** A machine and its monotonic clock stand still for a time. */
+    /** An instance and its monotonic clock stand still for a time. */
     SUSPEND {
         @Override
         void strike(LeaseModel model, LeaseNode node, SplittableRandom plan) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/LeaseNode.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/LeaseNode.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 
-/** Machine of a gateway with its clocks and links. Its processes come and go. */
+/** Instance of a gateway with its clocks and links. Its processes come and go. */
 final class LeaseNode implements DutyLease.Clocks {
     /** Time after a thaw or the end of a cut in which calls with lower tokens are allowed, in milliseconds. */
     private static final long THAW_MILLIS = 300;
@@ -70,7 +70,7 @@
         return link;
     }
 
-    /** Suspends the machine, and with it the monotonic clock. */
+    /** Suspends the instance, and with it the monotonic clock. */
     void suspend(long durationMillis) {
         if (!isSuspended()) {
             suspendedSinceMillis = time.nowMillis();
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/LeaseProcess.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/LeaseProcess.java
@@ -55,7 +55,7 @@
         time.after(random.nextLong(TICK_MILLIS), this::tick);
     }
 
-    /** Returns the machine. */
+    /** Returns the instance. */
     LeaseNode node() {
         return node;
     }
