Give the origins and versions of streams a folder of their own

http/ held 60 files, and the classes that decide where a stream goes on lay in two folders. They are in stream/ now, take what matters of a request as a StreamRequest, and may read no clock. No behaviour changes; StreamOriginsTest, StreamVersionsTest, ExchangeVersionTest and GatewayTest pass.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
@@ -8,6 +8,7 @@
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.stream.StreamRequest;
 
 /**
  * A request that was admitted under the active configuration.
@@ -61,6 +62,16 @@
                 : Optional.of(attributes.requestId()).filter(id -> !id.isEmpty());
     }
 
+    /** Returns what matters for the stream that the request begins or takes up again. */
+    StreamRequest streamRequest() {
+        return new StreamRequest(
+                service.name(),
+                streamId(),
+                route.isStreaming() && route.resumable(),
+                isResumption(),
+                route.timeoutMillis());
+    }
+
     /** Returns the priority that is sent to upstreams, where zero is the highest. */
     int priority() {
         int customerPriority = customer.map(Customer::priority)
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -14,6 +14,7 @@
 import org.lovagethread.gateway.policy.AttemptOutcome;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptQuarantine;
+import org.lovagethread.gateway.stream.StreamOrigin;
 import org.lovagethread.gateway.upstream.Upstream;
 
 /**
@@ -82,7 +83,7 @@
         context.retryBudget().recordRequest(service.name(), startedMillis);
         runGuarded(() -> context.streamOrigins()
                 .resolve(
-                        record.admitted(),
+                        record.admitted().streamRequest(),
                         startedMillis,
                         origin -> runGuarded(() -> onOriginResolved(origin, context.nowMillis()))));
     }
@@ -354,7 +355,7 @@
         if (!position.hasStarted()) {
             startStream();
             selector.pin(attempt.version);
-            context.streamOrigins().recordBeginning(record.admitted(), attempt.version, now);
+            context.streamOrigins().recordBeginning(record.admitted().streamRequest(), attempt.version, now);
             record.recordFirstEvent(now);
         }
         position.recordEvent(id);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -9,6 +9,7 @@
 import org.lovagethread.gateway.policy.RetryBudget;
 import org.lovagethread.gateway.policy.TokenQuota;
 import org.lovagethread.gateway.rollout.RolloutTable;
+import org.lovagethread.gateway.stream.StreamOrigins;
 import org.lovagethread.gateway.upstream.UpstreamSpeed;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeRecord.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeRecord.java
@@ -3,6 +3,7 @@
 import org.lovagethread.gateway.log.LogLine;
 import org.lovagethread.gateway.policy.AttemptOutcome;
 import org.lovagethread.gateway.policy.Placement;
+import org.lovagethread.gateway.stream.StreamOrigin;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamLoad;
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -35,6 +36,7 @@
 import org.lovagethread.gateway.peer.ClusterClock;
 import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.policy.AddressPolicy;
+import org.lovagethread.gateway.policy.AddressPolicy.GatewayAddress;
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.LagDetector;
 import org.lovagethread.gateway.policy.Placement;
@@ -46,6 +48,7 @@
 import org.lovagethread.gateway.store.EraStore;
 import org.lovagethread.gateway.store.Scheduler;
 import org.lovagethread.gateway.store.StateSync;
+import org.lovagethread.gateway.stream.StreamOrigins;
 import org.lovagethread.gateway.upstream.LeavingMark;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -86,7 +89,7 @@
     private final LagDetector lagDetector = new LagDetector();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final EraStore store;
-    private final AddressPolicy addressPolicy;
+    private final DiscoveryResponder discovery;
     private final PeerTable peers;
     private final Placement placement;
     private final ZoneTrafficExchange zoneTraffic;
@@ -143,7 +146,7 @@
         this.refusals = new RefusalReporter(log, metrics, ports.headerCodec());
         GatewaySettings.Bounds bounds = settings.bounds();
         ZoneTopology zones = new ZoneTopology(settings.zone(), settings.regionByZone());
-        this.addressPolicy = new AddressPolicy(zones);
+        this.discovery = new DiscoveryResponder(this, new AddressPolicy(zones));
         this.quota = new TokenQuota(bounds.quotaTolerance(), bounds.quotaToleranceTokens(), nowMillis(), Math::random);
         this.peers = new PeerTable(settings.host(), settings.zone(), settings.capacity());
         this.zoneTraffic = new ZoneTrafficExchange(zones, crossZone, settings.node() + '#' + incarnation, log, metrics);
@@ -194,8 +197,8 @@
      */
     public void start() throws InterruptedException {
         callerListener = listen(settings.callerAddress(), callerServer::accept);
-        listen(settings.readinessAddress(), channel -> SimpleHttpServer.accept(channel, this::discoveryResponse));
-        listen(settings.directoryAddress(), channel -> SimpleHttpServer.accept(channel, this::discoveryResponse));
+        listen(settings.readinessAddress(), channel -> SimpleHttpServer.accept(channel, discovery::respond));
+        listen(settings.directoryAddress(), channel -> SimpleHttpServer.accept(channel, discovery::respond));
         listen(settings.metricsAddress(), channel -> SimpleHttpServer.accept(channel, request -> metricsResponse()));
         listen(peerAddress(), channel -> SimpleHttpServer.accept(channel, this::peerResponse));
         peerExchange.open(loop);
@@ -309,30 +312,6 @@
         }
     }
 
-    private SimpleHttpServer.Response discoveryResponse(FullHttpRequest request) {
-        if (ports.discoveryProtocol().isReadinessCheck(request.uri())) {
-            return SimpleHttpServer.Response.empty(
-                    isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
-        }
-        Optional<DiscoveryProtocol.DirectoryQuery> query =
-                ports.discoveryProtocol().parseDirectoryQuery(request.uri());
-        if (query.isEmpty()) {
-            return SimpleHttpServer.Response.empty(HttpResponseStatus.NOT_FOUND);
-        }
-        var chosen = addressPolicy.choose(query.get().zone(), peerExchange.readyGateways(nowMillis()));
-        if (chosen.isEmpty()) {
-            return SimpleHttpServer.Response.empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
-        }
-        int port = settings.callerAddress().getPort();
-        byte[] body = ports.discoveryProtocol()
-                .encodeDirectoryResponse(
-                        chosen.stream().map(host -> host + ':' + port).toList(),
-                        Math.min(
-                                AddressPolicy.ADDRESS_TTL_MILLIS,
-                                settings.bounds().maxAddressTtlMillis()));
-        return new SimpleHttpServer.Response(HttpResponseStatus.OK, "application/json", ByteString.copyFrom(body));
-    }
-
     private SimpleHttpServer.Response metricsResponse() {
         metrics.setState(
                 "configuration_version",
@@ -466,6 +445,11 @@
                         / peers.estimatedGateways());
     }
 
+    /** Returns the addresses of all gateways that accept requests, including this one. */
+    List<GatewayAddress> readyGateways(long nowMillis) {
+        return peerExchange.readyGateways(nowMillis);
+    }
+
     void sendToPeers(GatewayDatagram datagram, Set<String> hosts) {
         peerExchange.send(datagram, hosts);
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginReporter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginReporter.java
@@ -6,6 +6,7 @@
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.log.GatewayMetrics;
 import org.lovagethread.gateway.log.LogRateLimiter;
+import org.lovagethread.gateway.stream.StreamOrigin;
 
 /** Writes to the log and to the metrics which services have several versions, and which streams could not go on. */
 final class StreamOriginReporter {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginService.java
@@ -3,8 +3,13 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.lovagethread.gateway.config.GatewayConfiguration;
-import org.lovagethread.gateway.policy.StreamVersions;
 import org.lovagethread.gateway.store.ObjectStore;
+import org.lovagethread.gateway.stream.StreamOriginCleaner;
+import org.lovagethread.gateway.stream.StreamOriginLookup;
+import org.lovagethread.gateway.stream.StreamOriginStore;
+import org.lovagethread.gateway.stream.StreamOrigins;
+import org.lovagethread.gateway.stream.StreamVersions;
+import org.lovagethread.gateway.stream.StreamVersionsCodec;
 import org.lovagethread.wire.generated.GatewayState;
 
 /** Connects the knowledge of where streams began with the configuration, the store, the peers and the log. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/BegunStream.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/BegunStream.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.policy;
+package org.lovagethread.gateway.stream;
 
 /**
  * A stream of which this gateway has forwarded an event.
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/BegunStreams.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/BegunStreams.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.policy;
+package org.lovagethread.gateway.stream;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOrigin.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigin.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.http;
+package org.lovagethread.gateway.stream;
 
 import java.util.Locale;
 import java.util.Optional;
@@ -10,12 +10,12 @@
  * @param version the version; empty unless the stream must go on at it
  * @param reason why the version is unknown; an empty string if it is known or does not matter
  */
-record StreamOrigin(Source source, Optional<String> version, String reason) {
+public record StreamOrigin(Source source, Optional<String> version, String reason) {
     /** The request begins a stream, or is none. */
-    static final StreamOrigin BEGINNING = new StreamOrigin(Source.BEGINNING, Optional.empty(), "");
+    public static final StreamOrigin BEGINNING = new StreamOrigin(Source.BEGINNING, Optional.empty(), "");
 
     /** Sources of the knowledge. */
-    enum Source {
+    public enum Source {
         /** The stream begins with this request. */
         BEGINNING,
         /** No other version could have begun the stream. */
@@ -27,14 +27,24 @@
         /** The version is unknown, and the stream cannot go on. */
         NONE;
 
-        /** Returns the name for logs. */
-        String label() {
+        /**
+         * Returns the name for logs.
+         *
+         * @return the name
+         */
+        public String label() {
             return name().toLowerCase(Locale.ROOT).replace('_', '-');
         }
     }
 
-    /** Returns the origin of a stream whose version is known. */
-    static StreamOrigin known(Source source, String version) {
+    /**
+     * Returns the origin of a stream whose version is known.
+     *
+     * @param source where the version is known from
+     * @param version the version
+     * @return the origin
+     */
+    public static StreamOrigin known(Source source, String version) {
         return new StreamOrigin(source, Optional.of(version), "");
     }
 
@@ -52,8 +62,12 @@
         return new StreamOrigin(Source.NONE, Optional.empty(), reason);
     }
 
-    /** Returns whether the stream may go on, or begin. */
-    boolean isResolved() {
+    /**
+     * Returns whether the stream may go on, or begin.
+     *
+     * @return false if the version is unknown
+     */
+    public boolean isResolved() {
         return source != Source.NONE;
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginCleaner.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOriginCleaner.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.http;
+package org.lovagethread.gateway.stream;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,7 +12,7 @@
 import org.lovagethread.gateway.store.StoredObject;
 
 /** Removes the stored chunks of streams whose gateways have ended, when their streams cannot be taken up any more. */
-final class StreamOriginCleaner {
+public final class StreamOriginCleaner {
     /** Time after the end of a chunk for which it is kept, since clocks differ, in milliseconds. */
     private static final long MARGIN_MILLIS = 10_000;
 
@@ -25,7 +25,14 @@
     private long nextRemovalMillis = Long.MIN_VALUE;
     private long lastListMillis = Long.MIN_VALUE;
 
-    StreamOriginCleaner(ObjectStore store, LongSupplier clusterClock, Consumer<Boolean> storeCallListener) {
+    /**
+     * Creates a cleaner, which makes no call before {@link #tick}.
+     *
+     * @param store the store
+     * @param clusterClock the time since the epoch in milliseconds, by which the end of a chunk is stored
+     * @param storeCallListener receives, for each call, whether the store processed it
+     */
+    public StreamOriginCleaner(ObjectStore store, LongSupplier clusterClock, Consumer<Boolean> storeCallListener) {
         this.store = store;
         this.clusterClock = clusterClock;
         this.storeCallListener = storeCallListener;
@@ -39,7 +46,7 @@
      * @param intervalMillis the minimum time between two removals, in milliseconds
      * @param nowMillis the current time in milliseconds
      */
-    void tick(boolean mayFindChunks, long lifetimeMillis, long intervalMillis, long nowMillis) {
+    public void tick(boolean mayFindChunks, long lifetimeMillis, long intervalMillis, long nowMillis) {
         if (mayFindChunks) {
             lastListMillis = nowMillis + 2 * lifetimeMillis + MARGIN_MILLIS;
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOriginCodec.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.http;
+package org.lovagethread.gateway.stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.lovagethread.gateway.policy.BegunStream;
 
 /** Encodes the streams that began at a gateway in a certain time, a chunk, as the content of an object in the store. */
 final class StreamOriginCodec {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginLookup.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOriginLookup.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.http;
+package org.lovagethread.gateway.stream;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,7 +11,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
-import org.lovagethread.gateway.policy.BegunStream;
 import org.lovagethread.gateway.store.ObjectKind;
 import org.lovagethread.gateway.store.ObjectStore;
 import org.lovagethread.gateway.store.StoreReply.Status;
@@ -23,7 +22,7 @@
  * <p>One list of the chunks serves all requests that wait for it. A stream that is not found is looked for once more
  * after the time within which its gateway stores it.
  */
-final class StreamOriginLookup {
+public final class StreamOriginLookup {
     /** Time for which the reply to a write may be under way, in milliseconds. */
     private static final long WRITE_DELAY_MILLIS = 100;
 
@@ -78,7 +77,7 @@
      * @param storeCallListener receives, for each call, whether the store processed it
      * @param outage whether calls to the store have failed for some time
      */
-    StreamOriginLookup(
+    public StreamOriginLookup(
             ObjectStore store, LongSupplier clusterClock, Consumer<Boolean> storeCallListener, BooleanSupplier outage) {
         this.outage = outage;
         this.store = store;
@@ -86,8 +85,12 @@
         this.storeCallListener = storeCallListener;
     }
 
-    /** Returns the number of lists that were begun. */
-    long lists() {
+    /**
+     * Returns the number of lists that were begun.
+     *
+     * @return the number since the start
+     */
+    public long lists() {
         return lists;
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginStore.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOriginStore.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.http;
+package org.lovagethread.gateway.stream;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -10,8 +10,6 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.lovagethread.gateway.policy.BegunStream;
-import org.lovagethread.gateway.policy.StreamVersions;
 import org.lovagethread.gateway.store.ObjectKind;
 import org.lovagethread.gateway.store.ObjectStore;
 import org.lovagethread.gateway.store.StoreReply;
@@ -25,7 +23,7 @@
  * is replaced as streams begin. The first chunk has all streams that began here before; each chunk also shows that its
  * services have several versions. Chunks are removed when their streams cannot be taken up any more.
  */
-final class StreamOriginStore {
+public final class StreamOriginStore {
     /** Time after which the streams that begin belong to the next chunk, in milliseconds. */
     private static final long CHUNK_MILLIS = 5_000;
 
@@ -58,7 +56,7 @@
      * @param clusterClock the time since the epoch in milliseconds, by which the end of a chunk is stored
      * @param storeCallListener receives, for each call, whether the store processed it
      */
-    StreamOriginStore(
+    public StreamOriginStore(
             ObjectStore store,
             StreamVersions versions,
             String process,
@@ -71,8 +69,12 @@
         this.storeCallListener = storeCallListener;
     }
 
-    /** Returns the number of calls to the store. */
-    long calls() {
+    /**
+     * Returns the number of calls to the store.
+     *
+     * @return the number since the start
+     */
+    public long calls() {
         return calls;
     }
 
@@ -83,7 +85,7 @@
      * @param recoveredMillis when the store recovered from its latest outage, in milliseconds
      * @param nowMillis the current time in milliseconds
      */
-    void tick(long intervalMillis, long recoveredMillis, long nowMillis) {
+    public void tick(long intervalMillis, long recoveredMillis, long nowMillis) {
         if (recoveredMillis != storeRecoveredMillis) {
             storeRecoveredMillis = recoveredMillis;
             storeAllAnew();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOrigins.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigins.java
@@ -1,18 +1,17 @@
-package org.lovagethread.gateway.http;
+package org.lovagethread.gateway.stream;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
-import org.lovagethread.gateway.policy.StreamVersions;
 import org.lovagethread.gateway.store.StoreReply.Status;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 
 /** Finds the software version at which the stream of a request began, and records where streams begin. */
-final class StreamOrigins {
+public final class StreamOrigins {
     /** Minimum time between two calls to the store by one gateway, in milliseconds. */
     private static final long MIN_CALL_INTERVAL_MILLIS = 200;
 
@@ -37,7 +36,7 @@
      * @param gatewayCount the number of gateways that use the store
      * @param clusterClock the time since the epoch in milliseconds, by which upstreams state their start
      */
-    StreamOrigins(
+    public StreamOrigins(
             StreamVersions versions,
             UpstreamTable upstreams,
             StreamOriginLookup lookup,
@@ -57,14 +56,14 @@
      * @param nowMillis the current time in milliseconds
      * @param consumer receives the origin, at once or later
      */
-    void resolve(AdmittedRequest request, long nowMillis, Consumer<StreamOrigin> consumer) {
+    public void resolve(StreamRequest request, long nowMillis, Consumer<StreamOrigin> consumer) {
         if (!request.isResumption()) {
             consumer.accept(StreamOrigin.BEGINNING);
             return;
         }
-        versions.longestTimeout(request.route().timeoutMillis());
+        versions.longestTimeout(request.timeoutMillis());
         versions.observe(upstreams.all(), nowMillis);
-        String service = request.service().name();
+        String service = request.service();
         Optional<String> streamId = request.streamId();
         Optional<String> known = streamId.flatMap(id -> versions.version(service, id));
         boolean isMixed = versions.isMixed(service, nowMillis);
@@ -118,20 +117,27 @@
      * @param version the version of the software of the upstream that sent the event
      * @param nowMillis the current time in milliseconds
      */
-    void recordBeginning(AdmittedRequest request, String version, long nowMillis) {
-        if (request.route().isStreaming() && request.route().resumable()) {
-            request.streamId()
-                    .ifPresent(id -> versions.recordBeginning(request.service().name(), id, version, nowMillis));
+    public void recordBeginning(StreamRequest request, String version, long nowMillis) {
+        if (request.isResumable()) {
+            request.streamId().ifPresent(id -> versions.recordBeginning(request.service(), id, version, nowMillis));
         }
     }
 
-    /** Makes the calls to the store that are due. */
-    void tick(long nowMillis) {
+    /**
+     * Makes the calls to the store that are due.
+     *
+     * @param nowMillis the current time in milliseconds
+     */
+    public void tick(long nowMillis) {
         lookup.tick(listIntervalMillis(), nowMillis);
     }
 
-    /** Returns the minimum time between two writes of this gateway, in milliseconds. */
-    long writeIntervalMillis() {
+    /**
+     * Returns the minimum time between two writes of this gateway.
+     *
+     * @return the time in milliseconds
+     */
+    public long writeIntervalMillis() {
         return Math.max(MIN_CALL_INTERVAL_MILLIS, gatewayCount.getAsInt() * WRITE_INTERVAL_MILLIS);
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamVersionsCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamVersionsCodec.java
@@ -1,11 +1,10 @@
-package org.lovagethread.gateway.http;
+package org.lovagethread.gateway.stream;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.UnknownFieldSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.lovagethread.gateway.policy.StreamVersions;
 import org.lovagethread.wire.generated.GatewayState;
 
 /**
@@ -15,7 +14,7 @@
  * versions of the last lifetime, 32 names each service of which it has seen several, and 33 each other service with the
  * version that it has seen, separated by a line feed.
  */
-final class StreamVersionsCodec {
+public final class StreamVersionsCodec {
     private static final int COMPLETE_FIELD = 31;
     private static final int MIXED_SERVICES_FIELD = 32;
     private static final int VERSIONS_FIELD = 33;
@@ -23,7 +22,13 @@
 
     private StreamVersionsCodec() {}
 
-    static void addTo(GatewayState.Builder state, StreamVersions versions) {
+    /**
+     * Adds what this gateway knows to its state.
+     *
+     * @param state the state
+     * @param versions the versions of services
+     */
+    public static void addTo(GatewayState.Builder state, StreamVersions versions) {
         UnknownFieldSet.Builder fields = UnknownFieldSet.newBuilder(state.getUnknownFields());
         if (versions.isComplete()) {
             fields.mergeVarintField(COMPLETE_FIELD, 1);
@@ -40,7 +45,14 @@
         state.setUnknownFields(fields.build());
     }
 
-    static void applyPeer(GatewayState state, StreamVersions versions, long nowMillis) {
+    /**
+     * Applies the state of a peer.
+     *
+     * @param state the state
+     * @param versions the versions of services
+     * @param nowMillis the current time in milliseconds
+     */
+    public static void applyPeer(GatewayState state, StreamVersions versions, long nowMillis) {
         UnknownFieldSet fields = state.getUnknownFields();
         List<String> services = fields.getField(MIXED_SERVICES_FIELD).getLengthDelimitedList().stream()
                 .map(ByteString::toStringUtf8)
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/LayeringTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/LayeringTest.java
@@ -31,7 +31,8 @@
                     "org.lovagethread.gateway.upstream",
                     "org.lovagethread.gateway.duty",
                     "org.lovagethread.gateway.rollout",
-                    "org.lovagethread.gateway.store")
+                    "org.lovagethread.gateway.store",
+                    "org.lovagethread.gateway.stream")
             .should()
             .callMethod(System.class, "currentTimeMillis")
             .orShould()
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/StreamOriginsTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamOriginsTest.java
@@ -1,26 +1,15 @@
-package org.lovagethread.gateway.http;
+package org.lovagethread.gateway.stream;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.lovagethread.gateway.config.Route;
-import org.lovagethread.gateway.config.RouteKind;
-import org.lovagethread.gateway.config.ServiceSpec;
-import org.lovagethread.gateway.policy.PromptPrefix;
-import org.lovagethread.gateway.policy.StreamVersions;
 import org.lovagethread.gateway.store.FakeStore;
 import org.lovagethread.gateway.store.ObjectKind;
 import org.lovagethread.gateway.store.StoredObject;
@@ -37,13 +26,6 @@
     private static final long LIFETIME_MILLIS = 2 * TIMEOUT_MILLIS;
     private static final int GATEWAYS = 6;
     private static final String SERVICE = "pool";
-    private static final Route ROUTE = Route.builder("r")
-            .match("h", "/")
-            .kind(RouteKind.EVENT_STREAM, true, 2)
-            .times(TIMEOUT_MILLIS, 600, 250)
-            .services(List.of(new Route.WeightedService(SERVICE, 1)))
-            .build();
-
     private final FakeStore store = new FakeStore();
     private final AtomicLong clusterMillis = new AtomicLong(EPOCH_MILLIS);
     private final List<GatewayProcess> running = new ArrayList<>();
@@ -121,20 +103,9 @@
         }
     }
 
-    private static AdmittedRequest request(String id, OptionalLong lastEventId, Optional<String> resumed) {
-        HttpRequest header = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
-        RequestAttributes attributes = new RequestAttributes(
-                id,
-                Optional.empty(),
-                OptionalLong.empty(),
-                OptionalInt.empty(),
-                0,
-                PromptPrefix.NONE,
-                lastEventId,
-                resumed);
-        ServiceSpec service = new ServiceSpec(SERVICE, 96, Optional.empty(), Optional.empty());
-        return new AdmittedRequest(
-                header, Unpooled.EMPTY_BUFFER, attributes, ROUTE, service, Optional.empty(), OptionalLong.empty());
+    private static StreamRequest request(String id, OptionalLong lastEventId, Optional<String> resumed) {
+        boolean isResumption = lastEventId.isPresent();
+        return new StreamRequest(SERVICE, isResumption ? resumed : Optional.of(id), true, isResumption, TIMEOUT_MILLIS);
     }
 
     private void run(long millis) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/policy/StreamVersionsTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamVersionsTest.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.policy;
+package org.lovagethread.gateway.stream;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
