Let a stream go on only on proof that is younger than the request

What callers saw: while one gateway stood still or was cut off, upstreams of a new version joined; streams that had begun there through another gateway broke off, were taken up at that gateway and went on at the old version (ORDER).

Cause: a gateway that had listed one version for a lifetime concluded that a stream began at it, and went on concluding so however old its list was. What proves where a stream began had no age and no owner. Two more holes had the same cause: streams that began while the store was away, or after the copy from which it came back, were judged after the end of all gateways by the upstreams that were left.

Change: a stream goes on at the version that this gateway remembers, that the gateway where it began states (StreamQueries: one datagram to each peer and back), or that a read of the store shows which began after the request came. The store has a record of the versions at which streams may begin (VersionRecord): a version is recorded before streams begin at it, by one write of all gateways together, and removed when it has been gone for a lifetime. Only a record that names one version, begun in the present era of the store, proves that an unknown stream began at it. Else the request is refused at once, not run. While one version serves, a stream that begins costs no call, and one that is taken up at another gateway at most one list of the few objects. What a gateway knows of all versions ends with the age of its list.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/config/RouteTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/config/RouteTable.java
@@ -7,6 +7,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** Finds the route of a request by its host and the longest matching path prefix. */
 public final class RouteTable {
@@ -17,6 +19,7 @@
     private final LatencyTargets latencyTargets;
     private final Map<String, List<Route>> byHost = new HashMap<>();
     private final long longestResumableMillis;
+    private final Set<String> resumableServices;
 
     /**
      * Creates a table.
@@ -30,6 +33,11 @@
                 .mapToLong(Route::timeoutMillis)
                 .max()
                 .orElse(0);
+        this.resumableServices = routes.stream()
+                .filter(route -> route.isStreaming() && route.resumable())
+                .flatMap(route -> route.services().stream())
+                .map(Route.WeightedService::service)
+                .collect(Collectors.toUnmodifiableSet());
         for (Route route : routes) {
             byHost.computeIfAbsent(normalized(route.host()), host -> new ArrayList<>())
                     .add(route);
@@ -55,6 +63,15 @@
         return longestResumableMillis;
     }
 
+    /**
+     * Returns the services of the routes whose streams can be resumed.
+     *
+     * @return the names of the services
+     */
+    public Set<String> resumableServices() {
+        return resumableServices;
+    }
+
     /**
      * Finds the route of a request.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -264,6 +264,7 @@
 
     private void receive(GatewayDatagram datagram) {
         long now = gateway.nowMillis();
+        gateway.streamOriginService().receive(datagram);
         cellExchange.receive(datagram.getCellsList(), now);
         if (datagram.hasState() && gateway.peers().update(datagram.getState(), now)) {
             apply(datagram.getState(), now);
@@ -331,6 +332,7 @@
         boolean upstreamsLag = peerRevision > sync.upstreamsRevision();
         if (!configurationLags && !upstreamsLag) {
             laggingSinceMillis.remove(host);
+            sync.onPeerHasNoNewerUpstreams();
             return;
         }
         long sinceMillis = laggingSinceMillis.computeIfAbsent(host, key -> nowMillis);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginService.java
@@ -2,14 +2,18 @@
 
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.lovagethread.gateway.config.GatewayConfiguration;
 import org.lovagethread.gateway.store.ObjectStore;
 import org.lovagethread.gateway.stream.StreamOriginCleaner;
 import org.lovagethread.gateway.stream.StreamOriginLookup;
 import org.lovagethread.gateway.stream.StreamOriginStore;
 import org.lovagethread.gateway.stream.StreamOrigins;
+import org.lovagethread.gateway.stream.StreamQueries;
 import org.lovagethread.gateway.stream.StreamVersions;
 import org.lovagethread.gateway.stream.StreamVersionsCodec;
+import org.lovagethread.gateway.stream.VersionRecorder;
+import org.lovagethread.wire.generated.GatewayDatagram;
 import org.lovagethread.wire.generated.GatewayState;
 
 /** Connects the knowledge of where streams began with the configuration, the store, the peers and the log. */
@@ -21,6 +25,8 @@
     private final StreamVersions versions = new StreamVersions();
     private final StreamOrigins origins;
     private final StreamOriginLookup lookup;
+    private final StreamQueries queries;
+    private final VersionRecorder recorder;
     private final StreamOriginStore writer;
     private final StreamOriginCleaner cleaner;
     private final StreamOriginReporter reporter;
@@ -43,7 +49,12 @@
         this.writer = new StreamOriginStore(store, versions, process, clusterTime, gateway.sync()::recordCall);
         this.cleaner = new StreamOriginCleaner(store, clusterTime, gateway.sync()::recordCall);
         this.reporter = new StreamOriginReporter(gateway.log(), gateway.metrics());
-        this.origins = new StreamOrigins(versions, gateway.upstreams(), lookup, gateway::gatewayCount, clusterTime);
+        this.queries = new StreamQueries(
+                versions, gateway.settings().host(), gateway.incarnation(), this::livePeers, gateway::sendToPeers);
+        this.recorder = new VersionRecorder(
+                store, versions, gateway.store()::era, clusterTime, Math::random, gateway.sync()::recordCall);
+        this.origins = new StreamOrigins(
+                versions, queries, lookup, recorder, gateway::gatewayCount, gateway.store()::era, clusterTime);
         if (gateway.settings().firstStart()) {
             versions.markComplete();
         }
@@ -60,16 +71,18 @@
             return;
         }
         gateway.configuration().ifPresent(this::applyConfiguration);
-        versions.observe(gateway.upstreams().all(), nowMillis);
+        versions.observe(gateway.upstreams().all(), gateway.sync().upstreamsListedMillis(), nowMillis);
         Set<String> mixed = versions.mixedServices(nowMillis);
         reporter.reportMixed(mixed);
         long intervalMillis = origins.writeIntervalMillis();
         writer.tick(intervalMillis, gateway.sync().storeHealth().recoveredMillis(), nowMillis);
-        if (gateway.lease().fencingToken().isPresent()) {
+        boolean holdsDuty = gateway.lease().fencingToken().isPresent();
+        recorder.tick(resumableServices(), gateway.gatewayCount(), holdsDuty, nowMillis);
+        if (holdsDuty) {
             boolean mayFindChunks = !versions.isComplete() || !mixed.isEmpty();
             cleaner.tick(mayFindChunks, versions.lifetimeMillis(), intervalMillis, nowMillis);
         }
-        reporter.reportCalls(writer.calls(), lookup.lists());
+        reporter.reportCalls(writer.calls() + recorder.calls(), lookup.lists());
     }
 
     /** Ends the searches for streams whose time is over, and begins the next one. */
@@ -77,18 +90,35 @@
         origins.tick(nowMillis);
     }
 
+    private Set<String> resumableServices() {
+        return gateway.configuration()
+                .map(configuration -> configuration.routes().resumableServices())
+                .orElse(Set.of());
+    }
+
+    private Set<String> livePeers() {
+        return gateway.peers().livePeers(gateway.nowMillis()).stream()
+                .map(peer -> peer.state().getHost())
+                .collect(Collectors.toSet());
+    }
+
+    /** Handles the queries and replies in a datagram of a peer. */
+    void receive(GatewayDatagram datagram) {
+        queries.receive(datagram);
+    }
+
     private void applyConfiguration(GatewayConfiguration configuration) {
         versions.longestTimeout(configuration.routes().longestResumableMillis());
     }
 
     /** Adds what this gateway knows about versions to its state. */
     void addTo(GatewayState.Builder state) {
-        StreamVersionsCodec.addTo(state, versions);
+        StreamVersionsCodec.addTo(state, versions, recorder);
     }
 
     /** Applies the state of a peer. */
     void applyPeer(GatewayState state, long nowMillis) {
-        StreamVersionsCodec.applyPeer(state, versions, nowMillis);
+        StreamVersionsCodec.applyPeer(state, versions, recorder, nowMillis);
     }
 
     void onExchangeEnded(ExchangeRecord ended, long nowMillis) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
@@ -101,7 +101,8 @@
         }
         var kind = new RolloutTable.RequestKind(
                 triedUpstreams.isEmpty(), admitted.route().isRetryable());
-        return context.rollouts().candidates(service, available, kind, nowMillis);
+        List<Upstream> beginnable = context.streamOrigins().beginnable(admitted.streamRequest(), available, nowMillis);
+        return context.rollouts().candidates(service, beginnable, kind, nowMillis);
     }
 
     private Selection select(
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -56,6 +56,7 @@
     private Optional<JsonNode> configurationJson = Optional.empty();
     private Optional<ByteString> compressedConfiguration = Optional.empty();
     private long upstreamsRevision = -1;
+    private long upstreamsListedMillis = Long.MIN_VALUE;
     private long restartRevision = -1;
     private boolean upstreamsListed;
     private boolean isWatching = true;
@@ -183,6 +184,23 @@
         return upstreamsRevision;
     }
 
+    /**
+     * Returns the latest time at which the list of upstreams was known to be up to date: when the store answered, or
+     * a peer that has followed it.
+     *
+     * @return the time in milliseconds, long past if there has been no list
+     */
+    public long upstreamsListedMillis() {
+        return upstreamsListedMillis;
+    }
+
+    /** Records that a peer, from which this gateway receives changes, has no newer upstreams. */
+    public void onPeerHasNoNewerUpstreams() {
+        if (!isWatching) {
+            upstreamsListedMillis = scheduler.nowMillis();
+        }
+    }
+
     /**
      * Returns whether this gateway can be expected to reach the store: the store processed the last call, or
      * that call is long past.
@@ -471,6 +489,9 @@
         @Override
         public void onCallCompleted(boolean processed) {
             StateSync.this.recordCall(processed);
+            if (processed) {
+                upstreamsListedMillis = scheduler.nowMillis();
+            }
         }
 
         @Override
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigin.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigin.java
@@ -22,6 +22,8 @@
         ONE_VERSION,
         /** The stream began at this gateway, or was taken up here before. */
         MEMORY,
+        /** The stream began at a peer, which has told so. */
+        PEER,
         /** A gateway has stored where the stream began. */
         STORE,
         /** The version is unknown, and the stream cannot go on. */
@@ -48,13 +50,9 @@
         return new StreamOrigin(source, Optional.of(version), "");
     }
 
-    /**
-     * Returns the origin of a stream whose service has had a single version for as long as a stream can last.
-     *
-     * @param version the version; empty if no upstream is listed
-     */
-    static StreamOrigin oneVersion(Optional<String> version) {
-        return new StreamOrigin(Source.ONE_VERSION, version, "");
+    /** Returns the origin of a stream whose service has had a single version for as long as a stream can last. */
+    static StreamOrigin oneVersion(String version) {
+        return known(Source.ONE_VERSION, version);
     }
 
     /** Returns the origin of a stream whose version is unknown. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOriginLookup.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOriginLookup.java
@@ -39,14 +39,22 @@
     private final List<Search> searches = new ArrayList<>();
     private Map<String, Map<Long, String>> versionsByService = Map.of();
     private Set<String> mixedServices = Set.of();
+    private Optional<VersionRecord> record = Optional.empty();
     private boolean listPending;
     private long listMillis = Long.MIN_VALUE;
     private long previousListMillis = Long.MIN_VALUE;
     private long nextListMillis = Long.MIN_VALUE;
     private long lists;
 
-    /** What the store contains about a stream. */
-    record Finding(Status status, Optional<String> version, boolean isServiceMixed) {}
+    /**
+     * What the store contains about a stream.
+     *
+     * @param status whether the store could be read
+     * @param version the version at which the stream began; empty if it is unknown
+     * @param isServiceMixed whether the service has several versions
+     * @param record the versions at which streams may have begun; empty if there is no such record
+     */
+    record Finding(Status status, Optional<String> version, boolean isServiceMixed, Optional<VersionRecord> record) {}
 
     /**
      * What is looked for.
@@ -106,7 +114,7 @@
     void find(Query query, long writeMillis, long intervalMillis, long nowMillis, Consumer<Finding> consumer) {
         Optional<String> cached = version(query);
         if (cached.isPresent()) {
-            consumer.accept(new Finding(Status.OK, cached, true));
+            consumer.accept(new Finding(Status.OK, cached, true, Optional.empty()));
             return;
         }
         long writtenMillis = nowMillis + writeMillis + WRITE_DELAY_MILLIS;
@@ -167,6 +175,15 @@
                 }
             }));
         }
+        record = objects.stream()
+                .filter(object -> object.name().equals(VersionRecord.NAME))
+                .findAny()
+                .flatMap(object -> VersionRecord.decode(object.content()));
+        record.ifPresent(current -> current.recordedMillis().forEach((service, recorded) -> {
+            if (recorded.size() > 1) {
+                mixed.add(service);
+            }
+        }));
         versionsByService = versions;
         mixedServices = mixed;
         end(this::isFinal, Status.OK);
@@ -195,7 +212,8 @@
         searches.removeAll(ended);
         for (Search search : ended) {
             Query query = search.query();
-            search.consumer().accept(new Finding(status, version(query), mixedServices.contains(query.service())));
+            search.consumer()
+                    .accept(new Finding(status, version(query), mixedServices.contains(query.service()), record));
         }
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigins.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigins.java
@@ -7,8 +7,6 @@
 import java.util.function.LongSupplier;
 import org.lovagethread.gateway.store.StoreReply.Status;
 import org.lovagethread.gateway.upstream.Upstream;
-import org.lovagethread.gateway.upstream.UpstreamEntry;
-import org.lovagethread.gateway.upstream.UpstreamTable;
 
 /** Finds the software version at which the stream of a request began, and records where streams begin. */
 public final class StreamOrigins {
@@ -22,35 +20,44 @@
     private static final long LIST_INTERVAL_MILLIS = 10;
 
     private final StreamVersions versions;
-    private final UpstreamTable upstreams;
+    private final StreamQueries queries;
     private final StreamOriginLookup lookup;
+    private final VersionRecorder recorder;
     private final IntSupplier gatewayCount;
+    private final LongSupplier storeEra;
     private final LongSupplier clusterClock;
 
     /**
      * Creates origins without streams.
      *
      * @param versions the versions of services and streams
-     * @param upstreams the upstreams
+     * @param queries asks peers
      * @param lookup finds streams in the store
+     * @param recorder knows at which versions streams may begin
      * @param gatewayCount the number of gateways that use the store
-     * @param clusterClock the time since the epoch in milliseconds, by which upstreams state their start
+     * @param storeEra the era of the store
+     * @param clusterClock the time since the epoch in milliseconds
      */
     public StreamOrigins(
             StreamVersions versions,
-            UpstreamTable upstreams,
+            StreamQueries queries,
             StreamOriginLookup lookup,
+            VersionRecorder recorder,
             IntSupplier gatewayCount,
+            LongSupplier storeEra,
             LongSupplier clusterClock) {
         this.versions = versions;
-        this.upstreams = upstreams;
+        this.queries = queries;
         this.lookup = lookup;
+        this.recorder = recorder;
         this.gatewayCount = gatewayCount;
+        this.storeEra = storeEra;
         this.clusterClock = clusterClock;
     }
 
     /**
-     * Finds the version at which the stream of a request must go on.
+     * Finds the version at which the stream of a request must go on: from this gateway's memory, from a peer at which
+     * the stream began, or from the store, which is read after the request has come.
      *
      * @param request the request
      * @param nowMillis the current time in milliseconds
@@ -62,27 +69,36 @@
             return;
         }
         versions.longestTimeout(request.timeoutMillis());
-        versions.observe(upstreams.all(), nowMillis);
         String service = request.service();
         Optional<String> streamId = request.streamId();
         Optional<String> known = streamId.flatMap(id -> versions.version(service, id));
-        boolean isMixed = versions.isMixed(service, nowMillis);
         if (known.isPresent()) {
             consumer.accept(StreamOrigin.known(StreamOrigin.Source.MEMORY, known.get()));
-        } else if (!isMixed && versions.isComplete()) {
-            consumer.accept(StreamOrigin.oneVersion(versions.onlyVersion(service)));
-        } else if (isMixed && streamId.isEmpty()) {
+        } else if (streamId.isPresent()) {
+            queries.ask(service, streamId.get(), nowMillis, answer -> {
+                if (answer.isPresent()) {
+                    consumer.accept(StreamOrigin.known(StreamOrigin.Source.PEER, answer.get()));
+                } else {
+                    lookUp(request, nowMillis, consumer);
+                }
+            });
+        } else if (versions.isMixed(service, nowMillis)) {
             consumer.accept(StreamOrigin.unknown("the request names no stream"));
         } else {
-            lookup.find(
-                    new StreamOriginLookup.Query(service, streamId, isMixed),
-                    writeIntervalMillis(),
-                    listIntervalMillis(),
-                    nowMillis,
-                    finding -> consumer.accept(conclude(service, isMixed, finding)));
+            lookUp(request, nowMillis, consumer);
         }
     }
 
+    private void lookUp(StreamRequest request, long nowMillis, Consumer<StreamOrigin> consumer) {
+        boolean isMixed = versions.isMixed(request.service(), nowMillis);
+        lookup.find(
+                new StreamOriginLookup.Query(request.service(), request.streamId(), isMixed),
+                writeIntervalMillis(),
+                listIntervalMillis(),
+                nowMillis,
+                finding -> consumer.accept(conclude(request.service(), isMixed, finding)));
+    }
+
     private StreamOrigin conclude(String service, boolean wasMixed, StreamOriginLookup.Finding finding) {
         if (finding.version().isPresent()) {
             return StreamOrigin.known(
@@ -94,20 +110,40 @@
         if (wasMixed || finding.isServiceMixed()) {
             return StreamOrigin.unknown("no gateway has stored the stream");
         }
-        return hasLastingVersion(service)
-                ? StreamOrigin.oneVersion(versions.onlyVersion(service))
-                : StreamOrigin.unknown("the version may have changed while no gateway ran");
+        return finding.record()
+                .filter(record -> record.isTrusted(storeEra.getAsLong(), clusterClock.getAsLong()))
+                .flatMap(record -> record.onlyVersion(service))
+                .map(StreamOrigin::oneVersion)
+                .orElseGet(() -> StreamOrigin.unknown("no record proves that the service has had one version"));
     }
 
-    /** Returns whether the only version of a service has been there for as long as a stream can last. */
-    private boolean hasLastingVersion(String service) {
-        List<UpstreamEntry> entries = upstreams.all().stream()
-                .map(Upstream::entry)
-                .filter(entry -> entry.service().equals(service))
+    /**
+     * Returns the upstreams at which a stream may begin: of several versions, only those that are recorded. If none is,
+     * all of them.
+     *
+     * @param request the request
+     * @param upstreams the upstreams that can receive it
+     * @param nowMillis the current time in milliseconds
+     * @return some of the upstreams, in their order
+     */
+    public List<Upstream> beginnable(StreamRequest request, List<Upstream> upstreams, long nowMillis) {
+        if (!request.isResumable() || !isMixed(upstreams)) {
+            return upstreams;
+        }
+        List<Upstream> recorded = upstreams.stream()
+                .filter(upstream -> recorder.isRecorded(
+                        upstream.entry().service(), upstream.entry().version(), nowMillis))
                 .toList();
-        long latestStartMillis = clusterClock.getAsLong() - versions.lifetimeMillis();
-        return entries.stream().map(UpstreamEntry::version).distinct().count() == 1
-                && entries.stream().anyMatch(entry -> entry.startedAtMillis() < latestStartMillis);
+        return recorded.isEmpty() ? upstreams : recorded;
+    }
+
+    private static boolean isMixed(List<Upstream> upstreams) {
+        for (Upstream upstream : upstreams) {
+            if (!upstream.entry().version().equals(upstreams.get(0).entry().version())) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
@@ -124,11 +160,12 @@
     }
 
     /**
-     * Makes the calls to the store that are due.
+     * Ends the queries whose time is over, and makes the calls to the store that are due.
      *
      * @param nowMillis the current time in milliseconds
      */
     public void tick(long nowMillis) {
+        queries.tick(nowMillis);
         lookup.tick(listIntervalMillis(), nowMillis);
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamVersions.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamVersions.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,8 +14,8 @@
 /**
  * The software versions at which streams began at this gateway, and those that each service had lately.
  *
- * <p>A stream goes on only at the version that began it. A gateway needs no knowledge of a stream while its service has
- * had a single version for as long as a stream can last, its lifetime. Not thread-safe.
+ * <p>A stream goes on only at the version that began it. What this gateway has listed proves nothing about streams that
+ * began elsewhere, since the list has an age; see {@link VersionRecord}. Not thread-safe.
  */
 public final class StreamVersions {
     /** Lifetimes are this many of the longest timeouts, since callers may wait for longer than a route allows. */
@@ -23,6 +24,9 @@
     /** Time for which a statement of a peer about the versions of a service holds, in milliseconds. */
     private static final long PEER_STATEMENT_MILLIS = 5_000;
 
+    /** Age of a list of upstreams from which versions may have come and gone unseen, in milliseconds. */
+    private static final long MAX_LIST_AGE_MILLIS = 5_000;
+
     private final Map<String, Service> byName = new HashMap<>();
     private long lifetimeMillis;
     private boolean isConfigured;
@@ -70,18 +74,23 @@
     }
 
     /**
-     * Records the upstreams that are listed now.
+     * Records the upstreams that are listed.
      *
      * @param upstreams all upstreams of all services, including leaving ones
+     * @param listedMillis the latest time at which the list was known to be up to date, in milliseconds
      * @param nowMillis the current time in milliseconds
      */
-    public void observe(Collection<Upstream> upstreams, long nowMillis) {
+    public void observe(Collection<Upstream> upstreams, long listedMillis, long nowMillis) {
         for (Upstream upstream : upstreams) {
             service(upstream.entry().service())
                     .listedMillis
                     .put(upstream.entry().version(), nowMillis);
         }
-        if (isConfigured && !upstreams.isEmpty()) {
+        boolean isUpToDate = nowMillis - listedMillis <= MAX_LIST_AGE_MILLIS;
+        if (!isUpToDate) {
+            complete = false;
+            firstObservedMillis = OptionalLong.empty();
+        } else if (isConfigured && !upstreams.isEmpty()) {
             firstObservedMillis = OptionalLong.of(firstObservedMillis.orElse(nowMillis));
             complete |= nowMillis - firstObservedMillis.getAsLong() > lifetimeMillis;
         }
@@ -125,7 +134,7 @@
     /**
      * Returns whether this gateway knows all versions that had upstreams in the last lifetime.
      *
-     * @return false for some time after its start
+     * @return false for some time after its start, and after its list was out of date
      */
     public boolean isComplete() {
         return complete;
@@ -143,6 +152,24 @@
         return known != null && (known.versions(nowMillis).size() > 1 || known.isMixedAtPeers(nowMillis));
     }
 
+    /**
+     * Returns the versions that services had in the last lifetime, as far as this gateway or its peers have seen them.
+     *
+     * @param services the names of the services
+     * @param nowMillis the current time in milliseconds
+     * @return the versions
+     */
+    Set<ServiceVersion> lately(Collection<String> services, long nowMillis) {
+        Set<ServiceVersion> lately = new HashSet<>();
+        for (String name : services) {
+            Service known = byName.get(name);
+            if (known != null) {
+                known.versions(nowMillis).forEach(version -> lately.add(new ServiceVersion(name, version)));
+            }
+        }
+        return lately;
+    }
+
     /**
      * Returns the version of a service that has had upstreams of only one here.
      *
@@ -220,8 +247,12 @@
      * @return the version, or empty if the stream is unknown here
      */
     public Optional<String> version(String service, String streamId) {
-        return Optional.ofNullable(byName.get(service))
-                .flatMap(known -> known.streams.version(BegunStream.keyOf(streamId)));
+        return version(service, BegunStream.keyOf(streamId));
+    }
+
+    /** Returns the version at which a stream with a key began here. */
+    Optional<String> version(String service, long key) {
+        return Optional.ofNullable(byName.get(service)).flatMap(known -> known.streams.version(key));
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamVersionsCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamVersionsCodec.java
@@ -1,25 +1,14 @@
 package org.lovagethread.gateway.stream;
 
-import com.google.protobuf.ByteString;
-import com.google.protobuf.UnknownFieldSet;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.lovagethread.wire.generated.GatewayState;
 
-/**
- * Adds to the state of a gateway what it knows about the versions of services, and applies that of a peer.
- *
- * <p>The fields are not declared in the schema, since its compiler was missing: 31 states whether the sender knows all
- * versions of the last lifetime, 32 names each service of which it has seen several, and 33 each other service with the
- * version that it has seen, separated by a line feed.
- */
+/** Adds to the state of a gateway what it knows about the versions of services, and applies that of a peer. */
 public final class StreamVersionsCodec {
-    private static final int COMPLETE_FIELD = 31;
-    private static final int MIXED_SERVICES_FIELD = 32;
-    private static final int VERSIONS_FIELD = 33;
-    private static final String SEPARATOR = "\n";
-
     private StreamVersionsCodec() {}
 
     /**
@@ -27,22 +16,13 @@
      *
      * @param state the state
      * @param versions the versions of services
+     * @param recorder the versions that are recorded in the store
      */
-    public static void addTo(GatewayState.Builder state, StreamVersions versions) {
-        UnknownFieldSet.Builder fields = UnknownFieldSet.newBuilder(state.getUnknownFields());
-        if (versions.isComplete()) {
-            fields.mergeVarintField(COMPLETE_FIELD, 1);
-        }
-        UnknownFieldSet.Field.Builder services = UnknownFieldSet.Field.newBuilder();
-        versions.mixedServicesSeenHere()
-                .forEach(service -> services.addLengthDelimited(ByteString.copyFromUtf8(service)));
-        fields.mergeField(MIXED_SERVICES_FIELD, services.build());
-        UnknownFieldSet.Field.Builder single = UnknownFieldSet.Field.newBuilder();
+    public static void addTo(GatewayState.Builder state, StreamVersions versions, VersionRecorder recorder) {
+        state.setKnowsAllVersions(versions.isComplete()).addAllMixedServices(versions.mixedServicesSeenHere());
         versions.onlyVersionsSeenHere()
-                .forEach((service, version) ->
-                        single.addLengthDelimited(ByteString.copyFromUtf8(service + SEPARATOR + version)));
-        fields.mergeField(VERSIONS_FIELD, single.build());
-        state.setUnknownFields(fields.build());
+                .forEach((service, version) -> state.addSingleVersions(new ServiceVersion(service, version).text()));
+        recorder.recorded().forEach(version -> state.addRecordedVersions(version.text()));
     }
 
     /**
@@ -50,21 +30,20 @@
      *
      * @param state the state
      * @param versions the versions of services
+     * @param recorder the versions that are recorded in the store
      * @param nowMillis the current time in milliseconds
      */
-    public static void applyPeer(GatewayState state, StreamVersions versions, long nowMillis) {
-        UnknownFieldSet fields = state.getUnknownFields();
-        List<String> services = fields.getField(MIXED_SERVICES_FIELD).getLengthDelimitedList().stream()
-                .map(ByteString::toStringUtf8)
-                .toList();
+    public static void applyPeer(
+            GatewayState state, StreamVersions versions, VersionRecorder recorder, long nowMillis) {
         Map<String, String> single = new HashMap<>();
-        for (ByteString pair : fields.getField(VERSIONS_FIELD).getLengthDelimitedList()) {
-            String[] parts = pair.toStringUtf8().split(SEPARATOR, 2);
-            if (parts.length == 2) {
-                single.put(parts[0], parts[1]);
-            }
+        for (String text : state.getSingleVersionsList()) {
+            ServiceVersion.parse(text).ifPresent(seen -> single.put(seen.service(), seen.version()));
         }
-        boolean isComplete = fields.getField(COMPLETE_FIELD).getVarintList().contains(1L);
-        versions.recordPeer(isComplete, services, single, nowMillis);
+        versions.recordPeer(state.getKnowsAllVersions(), state.getMixedServicesList(), single, nowMillis);
+        Set<ServiceVersion> recorded = state.getRecordedVersionsList().stream()
+                .map(ServiceVersion::parse)
+                .flatMap(Optional::stream)
+                .collect(Collectors.toSet());
+        recorder.recordPeer(recorded, nowMillis);
     }
 }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/FakeStore.java
@@ -40,6 +40,11 @@
         era++;
     }
 
+    /** Returns the current era. */
+    public long era() {
+        return era;
+    }
+
     /** Returns the number of list calls. */
     public int listCalls() {
         return listCalls;
