Choose the service of a stream by its identifier

What callers saw: on a route that splits its requests over two services, streams that broke off were taken up and went on at the other service (38 of 60 in StreamTakeUpProcessTest).

Cause: the service was drawn anew for each request, also for one that takes up a stream. It is now drawn from the identifier under which the stream is taken up, which all its requests name, at any gateway. The shares stay as configured.

A configuration that changes the shares between two requests of a stream may still move it; its version is then unknown at the other service, and refused unless that service has had one version only.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestRouter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestRouter.java
@@ -13,6 +13,7 @@
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.policy.TokenQuota;
+import org.lovagethread.gateway.stream.BegunStream;
 
 /** Authenticates requests, charges quotas and selects routes and services according to the active configuration. */
 final class RequestRouter {
@@ -70,7 +71,7 @@
         if (quotaRefusal.isPresent()) {
             return Either.left(quotaRefusal.get());
         }
-        String serviceName = route.get().selectService(random.getAsDouble());
+        String serviceName = route.get().selectService(draw(route.get(), attributes));
         ServiceSpec service = current.service(serviceName)
                 .orElse(new ServiceSpec(serviceName, 0, Optional.empty(), Optional.empty()));
         OptionalLong targetMillis = current.routes()
@@ -80,6 +81,16 @@
                 new AdmittedRequest(request, body, attributes, route.get(), service, customer, targetMillis));
     }
 
+    /** Returns the same number for all requests of one stream, so that it goes on at the service that began it. */
+    private double draw(Route route, RequestAttributes attributes) {
+        Optional<String> streamId = attributes.lastEventId().isPresent()
+                ? attributes.resumedRequestId()
+                : Optional.of(attributes.requestId()).filter(id -> !id.isEmpty());
+        return route.isStreaming() && route.resumable() && streamId.isPresent()
+                ? BegunStream.draw(streamId.get())
+                : random.getAsDouble();
+    }
+
     /**
      * Returns the number of tokens charged for a request.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/BegunStream.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/BegunStream.java
@@ -14,6 +14,9 @@
     private static final long MIX_FACTOR = 0xff51afd7ed558ccdL;
     private static final int MIX_SHIFT = 33;
 
+    /** Number of bits in the fraction of a double. */
+    private static final int FRACTION_BITS = 53;
+
     /**
      * Returns the key of an identifier.
      *
@@ -28,4 +31,14 @@
         hash = (hash ^ (hash >>> MIX_SHIFT)) * MIX_FACTOR;
         return hash ^ (hash >>> MIX_SHIFT);
     }
+
+    /**
+     * Returns a number that is the same for all requests of a stream, and uniformly distributed over streams.
+     *
+     * @param streamId the identifier of the request that brought the first event of a stream
+     * @return a number in the range [0, 1)
+     */
+    public static double draw(String streamId) {
+        return (keyOf(streamId) >>> (Long.SIZE - FRACTION_BITS)) * 0x1p-53;
+    }
 }
