Allocate no buffer for an empty part of a stream

Cause: at the end of a stream the rest behind its last event is added, which is mostly empty. A buffer was allocated for it that is neither readable, so it was not sent, nor the empty buffer, so the next stream replaced it without a release.

CallerChannelHandlerTest.releasesAllBuffersOfAStreamThatEndsWithAnEmptyPart failed before: the third buffer (ridx: 0, widx: 0, cap: 0) was not released. An empty part is now ignored.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -330,6 +330,9 @@
     @Override
     public void addStreamData(ByteBuf bytes) {
         requireStreaming(true);
+        if (!bytes.isReadable()) {
+            return;
+        }
         if (unsentStreamData.capacity() == 0) {
             unsentStreamData = channel.alloc().buffer(bytes.readableBytes());
         }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -24,6 +25,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -83,11 +85,15 @@
     }
 
     private String written() {
+        return writtenTo(channel);
+    }
+
+    private static String writtenTo(EmbeddedChannel connection) {
         StringBuilder text = new StringBuilder();
-        ByteBuf bytes = channel.readOutbound();
+        ByteBuf bytes = connection.readOutbound();
         while (bytes != null) {
             text.append(bytes.toString(StandardCharsets.US_ASCII));
-            bytes = channel.readOutbound();
+            bytes = connection.readOutbound();
         }
         return text.toString();
     }
@@ -161,6 +167,35 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    /** Remembers the buffers that it has allocated. */
+    private static final class RecordingAllocator extends PooledByteBufAllocator {
+        private final List<ByteBuf> allocated = new ArrayList<>();
+
+        RecordingAllocator() {
+            super(false);
+        }
+
+        @Override
+        protected ByteBuf newHeapBuffer(int initialCapacity, int maxCapacity) {
+            ByteBuf buffer = super.newHeapBuffer(initialCapacity, maxCapacity);
+            allocated.add(buffer);
+            return buffer;
+        }
+    }
+
+    // Each stream without bytes behind its last event left a buffer that was neither sent nor released.
+    @Test
+    void releasesAllBuffersOfAStreamThatEndsWithAnEmptyPart() {
+        RecordingAllocator allocator = new RecordingAllocator();
+        channel.config().setAllocator(allocator);
+        handler.addStreamData(text());
+        handler.flushStream();
+        handler.addStreamData(Unpooled.EMPTY_BUFFER);
+        handler.endStream();
+        channel.releaseOutbound();
+        assertThat(allocator.allocated).isNotEmpty().allMatch(buffer -> buffer.refCnt() == 0);
+    }
+
     @Nested
     class PipelinedRequests {
         private final CallerChannelHandler failing = new CallerChannelHandler(gateway.callerServer(), null);
