Reset a stream without chunks that is closed before its last bytes are sent

A caller of HTTP/1.0 that read slowly took a stream whose last events were missing for a complete one, if its connection was closed, or the process ended, between the end of the stream and its last bytes on the socket.

Cause: the reset that marks an incomplete stream was switched off as soon as the end was queued, not when it had been written.

CallerChannelHandlerTest.areResetIfTheyAreClosedBeforeAllIsSent failed before: the caller read a regular end of the stream. The reset now stays on until the write has succeeded.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -353,10 +354,14 @@
     public void endStream() {
         flushStream();
         streaming = false;
-        setResetOnClose(false);
         boolean closeAnnounced = closing;
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         if (closeAnnounced) {
+            written.addListener((ChannelFuture sent) -> {
+                if (sent.isSuccess()) {
+                    setResetOnClose(false);
+                }
+            });
             written.addListener(ChannelFutureListener.CLOSE);
         }
         processNextRequest(closeAnnounced);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -218,6 +218,8 @@
 
     @Nested
     class CloseDelimitedStreams {
+        private static final int MORE_THAN_SOCKETS_HOLD = 64 << 20;
+
         private final NioEventLoopGroup group = new NioEventLoopGroup(1);
         private final CompletableFuture<CallerChannelHandler> accepted = new CompletableFuture<>();
 
@@ -273,6 +275,17 @@
             assertThatThrownBy(() -> readStream(CallerChannelHandler::abort)).isInstanceOf(SocketException.class);
         }
 
+        // The caller took a stream without its last events for a complete one.
+        @Test
+        void areResetIfTheyAreClosedBeforeAllIsSent() {
+            assertThatThrownBy(() -> readStream(caller -> {
+                        caller.addStreamData(Unpooled.wrappedBuffer(new byte[MORE_THAN_SOCKETS_HOLD]));
+                        caller.endStream();
+                        caller.abort();
+                    }))
+                    .isInstanceOf(SocketException.class);
+        }
+
         @Test
         void areClosedIfTheyAreComplete() throws Exception {
             assertThat(new String(readStream(CallerChannelHandler::endStream), StandardCharsets.US_ASCII))
