Write no body in response to a HEAD request

What followed the head of an error, or of a stream, was read by callers of HEAD where the next response is due.

Cause: the body of an error was written whatever the method, and a stream ended with the end of its chunks.

CallerChannelHandlerTest.writesNoBodyOfAnErrorToAHeadRequest and ExchangeTest.EventStreams.areNotStartedForAHeadRequest failed before. An error now keeps only the length of its body, and a response to HEAD is never a stream.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -284,7 +284,7 @@
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, responseBody.retainedDuplicate());
         Headers.copyEndToEnd(headers, response.headers());
-        if (request == null || !request.method().equals(HttpMethod.HEAD)) {
+        if (!isHeadRequest()) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, responseBody.readableBytes());
         }
         writeResponse(response, close);
@@ -297,7 +297,9 @@
         byte[] text = ("{\"error\":\"" + kind.label() + "\",\"message\":\"" + kind.message() + "\"}")
                 .getBytes(StandardCharsets.UTF_8);
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(kind.status()), Unpooled.wrappedBuffer(text));
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(kind.status()),
+                isHeadRequest() ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(text));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
         if (retryAfterMillis > 0) {
@@ -393,6 +395,11 @@
         channel.config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : -1);
     }
 
+    /** Returns whether the caller expects a response without a body. */
+    private boolean isHeadRequest() {
+        return request != null && request.method().equals(HttpMethod.HEAD);
+    }
+
     private boolean mustCloseAfterResponse() {
         return closing || server.isDraining() || (request != null && !HttpUtil.isKeepAlive(request));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
@@ -563,6 +564,7 @@
 
     private boolean isEventStream() {
         return route.isStreaming()
+                && !request.method().equals(HttpMethod.HEAD)
                 && responses.isSuccessWithProof(attempt.response)
                 && position.mayContinueWith(attempt.response);
     }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -196,6 +196,28 @@
         assertThat(allocator.allocated).isNotEmpty().allMatch(buffer -> buffer.refCnt() == 0);
     }
 
+    // The body of an error followed a response that has none, where the caller expects the next response.
+    @Test
+    void writesNoBodyOfAnErrorToAHeadRequest() {
+        EmbeddedChannel connection = connectionWithRequest("HEAD /x HTTP/1.1");
+        callerOf(connection).sendError(ErrorKind.NO_UPSTREAM, 0);
+        assertThat(writtenTo(connection)).endsWith("\r\n\r\n").containsIgnoringCase("content-length");
+    }
+
+    private EmbeddedChannel connectionWithRequest(String requestLine) {
+        EmbeddedChannel connection = new EmbeddedChannel(
+                new StrictRequestDecoder(65_536),
+                new HttpResponseEncoder(),
+                new CallerChannelHandler(gateway.callerServer(), ClientLimits.DEFAULT));
+        connection.freezeTime();
+        connection.writeInbound(Unpooled.copiedBuffer(requestLine + "\r\nHost: h\r\nContent-Length: 5\r\n\r\n", StandardCharsets.US_ASCII));
+        return connection;
+    }
+
+    private static CallerChannelHandler callerOf(EmbeddedChannel connection) {
+        return connection.pipeline().get(CallerChannelHandler.class);
+    }
+
     @Nested
     class PipelinedRequests {
         private final CallerChannelHandler failing = new CallerChannelHandler(gateway.callerServer(), null);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.handler.codec.http.HttpMethod;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -272,6 +273,16 @@
             assertThat(context.response).isEqualTo("200 stream aborted");
         }
 
+        // The end of the chunks followed a response that has none, where the caller expects the next response.
+        @Test
+        void areNotStartedForAHeadRequest() {
+            context.method = HttpMethod.HEAD;
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.response).isEqualTo("200 ");
+        }
+
         @Test
         void areAbortedIfAnEventIsMissing() {
             context.start(RouteKind.EVENT_STREAM, false, 1);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -64,6 +64,7 @@
     long currentMillis = 1_000;
     long unobservedMillis;
     RetryBudget retryBudget = new RetryBudget(0.2, 52, 10_000);
+    HttpMethod method = HttpMethod.POST;
     PromptPrefix prefix = PromptPrefix.NONE;
     final FakeStore store = new FakeStore();
     boolean storeOutage;
@@ -142,7 +143,7 @@
                 .services(List.of(new Route.WeightedService("desk", 1)))
                 .build();
         ServiceSpec service = new ServiceSpec("desk", 96, Optional.empty(), Optional.empty());
-        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
+        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/x");
         AdmittedRequest admitted = new AdmittedRequest(
                 request,
                 Unpooled.EMPTY_BUFFER,
