Skip no event of a stream that cannot be taken up

A caller that sent Last-Event-Id on a route that does not resume streams got the stream without its first events, in a response that looked complete: all events up to that one were dropped, or all of a shorter stream.

Cause: the position of the caller was read from the header whatever the route. StreamOrigins already took such a request for a beginning.

ExchangeTest.StreamsThatACallerTakesUp.beginAnewWhereTheRouteDoesNotResumeStreams failed before: no event was streamed. The header now counts only for requests that take a stream up; elsewhere it is passed on like any other.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.Customer;
@@ -71,7 +72,7 @@
         this.service = admitted.service();
         this.startedMillis = nowMillis;
         this.deadlineMillis = nowMillis + admitted.timeoutMillis();
-        this.position = new StreamPosition(attributes.lastEventId());
+        this.position = new StreamPosition(admitted.isResumption() ? attributes.lastEventId() : OptionalLong.empty());
         this.demand = admitted.demand();
         this.record = new ExchangeRecord(admitted, nowMillis);
         this.recorder = new AttemptRecorder(context, admitted, demand);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -533,6 +534,31 @@
         }
     }
 
+    @Nested
+    class StreamsThatACallerTakesUp {
+        private static final long TAKEN_UP_AFTER = 12;
+
+        StreamsThatACallerTakesUp() {
+            context.lastEventId = OptionalLong.of(TAKEN_UP_AFTER);
+            context.versions.markComplete();
+        }
+
+        private void startAndSend(boolean resumable, String events) {
+            context.start(RouteKind.EVENT_STREAM, resumable, 1);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData(events);
+        }
+
+        // The caller of a stream that begins anew got it without its first events.
+        @Test
+        void beginAnewWhereTheRouteDoesNotResumeStreams() {
+            startAndSend(false, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+    }
+
     @Nested
     class InternalErrors {
         @Test
