Take a stream up only where the run continues after the caller's last event

A caller that took a stream up after event 12 got, in a response that looked complete, event 14 next, or the events from 13 on of a run that had begun again at its first event, or events without identifiers.

Cause: only an attempt that went on with a stream of the same exchange had to begin with the event after the last one. For a request that takes a stream up a gap was not noticed, and events up to the caller's last one were dropped.

ExchangeTest.StreamsThatACallerTakesUp. doNotGoOnWithARunThatDoesNotContinueAfterTheLastEventOfTheCaller (four cases) and goOnAtAnotherUpstreamIfTheFirstDoesNotContinueThem failed before. Each attempt now begins with the event after the last one that the caller has, however the caller got it, or is broken. A run without any event still completes a stream that a caller takes up: the caller may have all of them.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Attempt.java
@@ -100,7 +100,7 @@
         evictionHandler.accept(this);
     }
 
-    /** Returns whether the next event must be the one after the last event of the interrupted stream. */
+    /** Returns whether the next event must be the one after the last event that the caller has. */
     boolean awaitsContinuation() {
         return resumesStream && !firstEventReceived;
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -222,7 +222,7 @@
         Attempt newAttempt = new Attempt(
                 choice,
                 demand.promptTokens() + (long) demand.maxOutputTokens(),
-                position.hasStarted(),
+                position.mustContinue(),
                 nowMillis,
                 context.observedMillis(),
                 context.responseMemory(),
@@ -389,8 +389,8 @@
             onAttemptFailed(AttemptOutcome.BROKEN, "stream ended in the middle of an event", nowMillis);
             return;
         }
-        // An empty response does not prove that the interrupted stream was complete.
-        if (attempt.awaitsContinuation()) {
+        // An empty response does not prove that the stream which this exchange has begun was complete.
+        if (position.hasStarted() && attempt.awaitsContinuation()) {
             onAttemptFailed(AttemptOutcome.BROKEN, "resumed stream ended without an event", nowMillis);
             return;
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamPosition.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamPosition.java
@@ -21,6 +21,11 @@
         started = true;
     }
 
+    /** Returns whether the next response must go on after an event that the caller has. */
+    boolean mustContinue() {
+        return started || lastEventId >= 0;
+    }
+
     /** Returns whether the response to the caller has started. */
     boolean hasStarted() {
         return started;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -549,6 +549,50 @@
             context.lastAttempt().sendData(events);
         }
 
+        @Test
+        void goOnAfterTheLastEventOfTheCaller() {
+            startAndSend(true, "id: 13\ndata: a\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.lastAttempt().lastEventId).isEqualTo(TAKEN_UP_AFTER);
+            assertThat(context.streamedEvents).hasToString("id: 13\ndata: a\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        @Test
+        void areCompleteWithoutAnEventIfTheCallerHasTheLastOne() {
+            startAndSend(true, "");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        // The caller got event 14 after event 12, or events of two runs, in a response that looked complete.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "id: 14\ndata: b\n\n",
+                    "id: 1\ndata: x\n\nid: 2\ndata: y\n\n",
+                    "id: 12\ndata: x\n\nid: 13\ndata: a\n\n",
+                    "data: a\n\n"
+                })
+        void doNotGoOnWithARunThatDoesNotContinueAfterTheLastEventOfTheCaller(String events) {
+            startAndSend(true, events);
+            assertThat(context.streamedEvents).hasToString("");
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+        }
+
+        @Test
+        void goOnAtAnotherUpstreamIfTheFirstDoesNotContinueThem() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: x\n\n");
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 13\ndata: a\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.lastAttempt().lastEventId).isEqualTo(TAKEN_UP_AFTER);
+            assertThat(context.streamedEvents).hasToString("id: 13\ndata: a\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
         // The caller of a stream that begins anew got it without its first events.
         @Test
         void beginAnewWhereTheRouteDoesNotResumeStreams() {
