Resume no suspended attempt whose response has ended

A request whose upstream was silent, and was replaced, waited for another silence timeout or its deadline if the silent attempt failed meanwhile (its connection was not established, or broke) and the replacement failed at once after that.

Cause: the end of a response was ignored unless the attempt was the current one, so the exchange resumed an attempt from which nothing could come any more.

ExchangeTest.SuspendedAttempts.areNotResumedAfterTheyHaveFailed failed before: the stream was neither ended nor aborted. The end of its response now releases a suspended attempt. CallerChannelHandlerTest releases what it reads.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptListener.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptListener.java
@@ -5,10 +5,14 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
-/** Passes the response to one attempt on to its exchange, and ignores it once the attempt has ended. */
+/**
+ * Passes the response to one attempt on to its exchange. Once the attempt is not the current one, only the end of its
+ * response matters, since it cannot be resumed then.
+ */
 final class AttemptListener implements UpstreamClient.Listener {
     private final UpstreamClient.Listener exchange;
     private final BooleanSupplier isCurrent;
+    private final Runnable formerEndHandler;
     private final Consumer<RuntimeException> errorHandler;
 
     /**
@@ -16,18 +20,23 @@
      *
      * @param exchange receives the response
      * @param isCurrent returns whether the attempt is the current one of its exchange
+     * @param formerEndHandler handles the end of the response when the attempt is not the current one
      * @param errorHandler ends the exchange after an exception
      */
     AttemptListener(
-            UpstreamClient.Listener exchange, BooleanSupplier isCurrent, Consumer<RuntimeException> errorHandler) {
+            UpstreamClient.Listener exchange,
+            BooleanSupplier isCurrent,
+            Runnable formerEndHandler,
+            Consumer<RuntimeException> errorHandler) {
         this.exchange = exchange;
         this.isCurrent = isCurrent;
+        this.formerEndHandler = formerEndHandler;
         this.errorHandler = errorHandler;
     }
 
     @Override
     public void onNotSent() {
-        runIfCurrent(exchange::onNotSent);
+        runAtEnd(exchange::onNotSent);
     }
 
     @Override
@@ -47,18 +56,25 @@
 
     @Override
     public void onEnd() {
-        runIfCurrent(exchange::onEnd);
+        runAtEnd(exchange::onEnd);
     }
 
     @Override
     public void onFailure(String reason) {
-        runIfCurrent(() -> exchange.onFailure(reason));
+        runAtEnd(() -> exchange.onFailure(reason));
+    }
+
+    private void runAtEnd(Runnable action) {
+        run(isCurrent.getAsBoolean() ? action : formerEndHandler);
     }
 
     private void runIfCurrent(Runnable action) {
-        if (!isCurrent.getAsBoolean()) {
-            return;
+        if (isCurrent.getAsBoolean()) {
+            run(action);
         }
+    }
+
+    private void run(Runnable action) {
         try {
             action.run();
         } catch (RuntimeException e) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -246,7 +246,11 @@
                         headers,
                         body,
                         !route.isRetryable(),
-                        new AttemptListener(this, () -> attempt == newAttempt, this::onInternalError));
+                        new AttemptListener(
+                                this,
+                                () -> attempt == newAttempt,
+                                () -> suspension.end(newAttempt),
+                                this::onInternalError));
         if (attempt == newAttempt) {
             newAttempt.handle = handle;
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Suspension.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Suspension.java
@@ -31,6 +31,13 @@
         return resumed;
     }
 
+    /** Releases an attempt, which cannot be resumed since its response has ended, if it is the suspended one. */
+    void end(Attempt ended) {
+        if (attempt.filter(suspended -> suspended == ended).isPresent()) {
+            end();
+        }
+    }
+
     /** Releases the suspended attempt if its time is over. */
     void expire(long nowMillis) {
         if (nowMillis >= deadlineMillis) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -93,6 +93,7 @@
         ByteBuf bytes = connection.readOutbound();
         while (bytes != null) {
             text.append(bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
             bytes = connection.readOutbound();
         }
         return text.toString();
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -603,6 +603,40 @@
         }
     }
 
+    @Nested
+    class SuspendedAttempts {
+        private FakeExchangeContext.FakeAttempt suspendFirst(int maxUpstreams) {
+            Exchange exchange = context.start(RouteKind.EVENT_STREAM, true, maxUpstreams);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\nid: 2\nda");
+            context.currentMillis += 1_600;
+            exchange.tick(context.currentMillis);
+            assertThat(context.attempts).hasSize(2);
+            return context.attempts.get(0);
+        }
+
+        @Test
+        void goOnInsideTheEventAtWhichTheyWereSuspended() {
+            FakeExchangeContext.FakeAttempt first = suspendFirst(2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 2\ndata: ot");
+            context.lastAttempt().listener.onFailure("reset");
+            first.sendData("ta: b\n\n");
+            first.listener.onEnd();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        // The exchange waited for an attempt whose end it had ignored.
+        @Test
+        void areNotResumedAfterTheyHaveFailed() {
+            FakeExchangeContext.FakeAttempt first = suspendFirst(2);
+            first.listener.onFailure("reset");
+            context.lastAttempt().respond(500, FakeExchangeContext.PROOF, "error");
+            assertThat(context.response).isEqualTo("200 stream aborted");
+        }
+    }
+
     @Nested
     class InternalErrors {
         @Test
