Watch from the revision of a list that was taken from a peer

For a moment a gateway sent requests by what upstreams had been before: to an earlier process, address or version of an upstream, or to one that had left. Its entry had a lower revision than the gateway had stated to its peers.

Cause: a gateway that takes a list from a peer, at its start or after an outage of the store, still accepted its own slower list, and repeated the changes that it had missed, both from before the revision of the peer's list.

StateSyncTest.ListingsOfPeers.areNotReplacedByAnEarlierListThatArrivesLater and areNotFollowedByTheChangesBeforeThem failed before. The watch now goes on from the revision of the list, which also saves the list call at a start.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
@@ -32,6 +32,7 @@
     private long currentCallId;
     private int unreadableReplies;
     private boolean retryPending;
+    private boolean started;
 
     /**
      * Timeouts and delays of a watcher.
@@ -97,6 +98,7 @@
     public void start() {
         currentCallId++;
         retryPending = false;
+        started = true;
         if (revision < 0) {
             listing = new ArrayList<>();
             listingRevision = Long.MAX_VALUE;
@@ -110,6 +112,23 @@
     public void pause() {
         currentCallId++;
         retryPending = false;
+        started = false;
+    }
+
+    /**
+     * Continues from a later revision, because all changes up to it have been received in another way. Outstanding
+     * replies, which may reflect an earlier one, are ignored.
+     *
+     * @param laterRevision the revision; without effect unless it is later than {@link #revision}
+     */
+    public void skipTo(long laterRevision) {
+        if (laterRevision <= revision) {
+            return;
+        }
+        revision = laterRevision;
+        if (started && !retryPending) {
+            start();
+        }
     }
 
     /** Restarts the current call, because its connection seems to be lost. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -272,7 +272,7 @@
     }
 
     /**
-     * Replaces all upstreams by those of a peer if the peer has a newer revision.
+     * Replaces all upstreams by those of a peer if the peer has a newer revision. The store is watched from there on.
      *
      * @param bytes the compressed listing, as returned by {@link #compressedUpstreams} of the peer
      * @param peer the name of the peer
@@ -289,6 +289,7 @@
             }
             log.add(log.line("upstreams-from-peer").put("source", peer).put("revision", listing.getRevision()));
             replaceUpstreams(objects, listing.getRevision());
+            upstreamWatcher.skipTo(listing.getRevision());
         } catch (InvalidProtocolBufferException e) {
             log.add(log.line("upstreams-unreadable").put("source", peer).put("reason", e.getMessage()));
         } catch (IOException e) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
@@ -255,6 +255,66 @@
         }
     }
 
+    /** A list that a peer has read later than this gateway's own list or changes. */
+    @Nested
+    class ListingsOfPeers {
+        private static final long PEER_REVISION = 9;
+
+        private void offerFromPeer() {
+            UpstreamListing later = UpstreamListing.newBuilder()
+                    .setRevision(PEER_REVISION)
+                    .addUpstreams(
+                            UpstreamRecord.newBuilder().setId("a").setContent(ByteString.copyFromUtf8("\"10.0.0.9\"")))
+                    .build();
+            sync.offerUpstreams(Gzip.compress(later.toByteString()), "peer");
+        }
+
+        private void assertStateOfPeer() {
+            assertThat(upstreams.find("a").orElseThrow().entry().host()).isEqualTo("10.0.0.9");
+            assertThat(upstreams.find("a").orElseThrow().revision()).isEqualTo(PEER_REVISION);
+        }
+
+        // A slow list of the store replaced the later one, until the next changes arrived.
+        @Test
+        void areNotReplacedByAnEarlierListThatArrivesLater() {
+            sync.start();
+            Consumer<StoreReply<Page>> slowReply = store.listReplies.get(ObjectKind.UPSTREAMS);
+            offerFromPeer();
+            slowReply.accept(StoreReply.of(Status.OK, new Page(List.of(sound("a")), false, 4)));
+            assertStateOfPeer();
+        }
+
+        // The changes before the list were applied once more, so that upstreams returned to what they were.
+        @Test
+        void areNotFollowedByTheChangesBeforeThem() {
+            sync.start();
+            list(ObjectKind.UPSTREAMS, sound("a"));
+            Consumer<StoreReply<Changes>> slowReply = store.watchReplies.get(ObjectKind.UPSTREAMS);
+            offerFromPeer();
+            Change earlier = new Change(new StoredObject("a", 6, TextNode.valueOf("10.0.0.6")), false);
+            slowReply.accept(StoreReply.of(Status.OK, new Changes(List.of(earlier), 6)));
+            assertStateOfPeer();
+        }
+
+        @Test
+        void areFollowedByTheChangesAfterThem() {
+            sync.start();
+            list(ObjectKind.UPSTREAMS, sound("a"));
+            offerFromPeer();
+            change(ObjectKind.UPSTREAMS, 10, new StoredObject("a", 10, TextNode.valueOf("10.0.0.10")));
+            assertThat(upstreams.find("a").orElseThrow().entry().host()).isEqualTo("10.0.0.10");
+        }
+
+        @Test
+        void doNotMakeAGatewayWatchThatReliesOnItsPeers() {
+            sync.start();
+            sync.setWatching(false);
+            store.watchReplies.clear();
+            offerFromPeer();
+            assertThat(store.watchReplies).isEmpty();
+        }
+    }
+
     /** The store comes back from an older copy. */
     @Nested
     class RestoredStore {
