Keep the stored counts of a window until its report is no longer due

A window whose report is due for more than eight windows could be reported twice with different counts: the second ones were what one gateway had counted itself.

Cause: the counts that a successor must repeat were removed from the store after eight windows, whatever the deadline.

UsageReporterTest.sendsSameCountsAfterChangeOfHolderUntilALateDeadline failed before: {ice=1}, then {ice=2} for one window. They are now kept until six windows after the deadline.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageReporter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/duty/UsageReporter.java
@@ -33,8 +33,8 @@
     private static final String PREFIX = "usage-";
     private static final String REQUESTS = "requests";
 
-    /** Number of windows after which a stored report is removed. */
-    private static final int STORED_REPORT_WINDOWS = 8;
+    /** Number of windows for which a stored report is kept after the deadline of its window. */
+    private static final int WINDOWS_AFTER_DEADLINE = 6;
 
     private final ObjectStore store;
     private final DutyApi api;
@@ -45,6 +45,7 @@
     private final LongSupplier eraSinceMillis;
     private final EventLog log;
     private final long reportDeadlineMillis;
+    private final long storedWindows;
     private final TreeSet<Long> completedWindows = new TreeSet<>();
     private final Map<Long, Map<String, Long>> storedCounts = new HashMap<>();
     private final Map<Long, Long> nextAttemptMillis = new HashMap<>();
@@ -77,6 +78,7 @@
         this.api = api;
         this.ledger = ledger;
         this.reportDeadlineMillis = reportDeadlineMillis;
+        this.storedWindows = ledger.windowAt(reportDeadlineMillis) + WINDOWS_AFTER_DEADLINE;
         this.clusterTime = clusterTime;
         this.monotonicClock = monotonicClock;
         this.fencingToken = fencingToken;
@@ -94,14 +96,14 @@
             return;
         }
         long latest = ledger.windowAt(now - COLLECTION_MILLIS) - 1;
-        long oldest = Math.max(ledger.windowAt(now - reportDeadlineMillis) - 1, firstWindow - STORED_REPORT_WINDOWS);
+        long oldest = Math.max(ledger.windowAt(now - reportDeadlineMillis) - 1, firstWindow - storedWindows);
         for (long window = oldest; window <= latest; window++) {
             if (!completedWindows.contains(window)
                     && nextAttemptMillis.getOrDefault(window, 0L) <= monotonicClock.getAsLong()) {
                 reportOrOmit(window);
             }
         }
-        while (completedWindows.size() > 2 * STORED_REPORT_WINDOWS) {
+        while (completedWindows.size() > 2 * storedWindows) {
             completedWindows.pollFirst();
         }
     }
@@ -178,7 +180,7 @@
         completedWindows.add(window);
         storedCounts.remove(window);
         nextAttemptMillis.remove(window);
-        store.remove(ObjectKind.DUTIES, PREFIX + (window - STORED_REPORT_WINDOWS), reply -> {});
+        store.remove(ObjectKind.DUTIES, PREFIX + (window - storedWindows), reply -> {});
     }
 
     private static ObjectNode encode(Map<String, Long> counts) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/UsageReporterTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/duty/UsageReporterTest.java
@@ -18,8 +18,8 @@
 
     private final FakeStore store = new FakeStore();
     private final RecordingApi api = new RecordingApi();
-    private final Gateway one = new Gateway();
-    private final Gateway two = new Gateway();
+    private final Gateway one = new Gateway(10_000);
+    private final Gateway two = new Gateway(10_000);
     private long now = 1_000_000;
     private long eraSinceMillis;
 
@@ -45,24 +45,32 @@
 
     private final class Gateway {
         private final UsageLedger ledger = new UsageLedger(WINDOW_MILLIS, () -> now);
+        private final UsageReporter reporter;
         private boolean holdsLease;
-        private final UsageReporter reporter = new UsageReporter(
-                store,
-                api,
-                ledger,
-                10_000,
-                () -> now,
-                () -> now,
-                () -> holdsLease ? OptionalLong.of(1) : OptionalLong.empty(),
-                () -> eraSinceMillis,
-                new EventLog("node", new ByteArrayOutputStream()));
+
+        Gateway(long reportDeadlineMillis) {
+            reporter = new UsageReporter(
+                    store,
+                    api,
+                    ledger,
+                    reportDeadlineMillis,
+                    () -> now,
+                    () -> now,
+                    () -> holdsLease ? OptionalLong.of(1) : OptionalLong.empty(),
+                    () -> eraSinceMillis,
+                    new EventLog("node", new ByteArrayOutputStream()));
+        }
     }
 
     private void run(long millis) {
+        run(millis, one, two);
+    }
+
+    private void run(long millis, Gateway first, Gateway second) {
         for (long i = 0; i < millis; i += 100) {
             now += 100;
-            one.reporter.tick();
-            two.reporter.tick();
+            first.reporter.tick();
+            second.reporter.tick();
         }
     }
 
@@ -100,6 +108,29 @@
         assertThat(reports).allMatch(report -> report.requests().equals(Map.of("ice", 1L)));
     }
 
+    // The stored counts were removed before the deadline of their window, so a successor reported its own.
+    @Test
+    void sendsSameCountsAfterChangeOfHolderUntilALateDeadline() {
+        Gateway first = new Gateway(12 * WINDOW_MILLIS);
+        Gateway second = new Gateway(12 * WINDOW_MILLIS);
+        first.holdsLease = true;
+        run(100, first, second);
+        long window = first.ledger.windowAt(now);
+        first.ledger.recordStart("ice");
+        second.ledger.recordStart("ice");
+        second.ledger.recordStart("ice");
+        for (int i = 0; i < 10; i++) {
+            run(WINDOW_MILLIS, first, second);
+            first.ledger.recordStart("ice");
+        }
+        first.holdsLease = false;
+        second.holdsLease = true;
+        run(WINDOW_MILLIS, first, second);
+        assertThat(api.reports.stream().filter(report -> report.window() == window))
+                .isNotEmpty()
+                .allMatch(report -> report.requests().equals(Map.of("ice", 1L)));
+    }
+
     @Test
     void sendsNothingWithoutLease() {
         run(100);
