--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -283,7 +284,7 @@
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, responseBody.retainedDuplicate());
         Headers.copyEndToEnd(headers, response.headers());
-        if (request == null || !request.method().equals(HttpMethod.HEAD)) {
+        if (!isHeadRequest()) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, responseBody.readableBytes());
         }
         writeResponse(response, close);
@@ -296,7 +297,9 @@
         byte[] text = ("{\"error\":\"" + kind.label() + "\",\"message\":\"" + kind.message() + "\"}")
                 .getBytes(StandardCharsets.UTF_8);
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(kind.status()), Unpooled.wrappedBuffer(text));
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(kind.status()),
+                isHeadRequest() ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(text));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
         if (retryAfterMillis > 0) {
@@ -330,6 +333,9 @@
     @Override
     public void addStreamData(ByteBuf bytes) {
         requireStreaming(true);
+        if (!bytes.isReadable()) {
+            return;
+        }
         if (unsentStreamData.capacity() == 0) {
             unsentStreamData = channel.alloc().buffer(bytes.readableBytes());
         }
@@ -350,10 +356,14 @@
     public void endStream() {
         flushStream();
         streaming = false;
-        setResetOnClose(false);
         boolean closeAnnounced = closing;
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         if (closeAnnounced) {
+            written.addListener((ChannelFuture sent) -> {
+                if (sent.isSuccess()) {
+                    setResetOnClose(false);
+                }
+            });
             written.addListener(ChannelFutureListener.CLOSE);
         }
         processNextRequest(closeAnnounced);
@@ -385,6 +395,11 @@
         channel.config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : -1);
     }
 
+    /** Returns whether the caller expects a response without a body. */
+    private boolean isHeadRequest() {
+        return request != null && request.method().equals(HttpMethod.HEAD);
+    }
+
     private boolean mustCloseAfterResponse() {
         return closing || server.isDraining() || (request != null && !HttpUtil.isKeepAlive(request));
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -2,10 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.Customer;
@@ -71,7 +73,7 @@
         this.service = admitted.service();
         this.startedMillis = nowMillis;
         this.deadlineMillis = nowMillis + admitted.timeoutMillis();
-        this.position = new StreamPosition(attributes.lastEventId());
+        this.position = new StreamPosition(admitted.isResumption() ? attributes.lastEventId() : OptionalLong.empty());
         this.demand = admitted.demand();
         this.record = new ExchangeRecord(admitted, nowMillis);
         this.recorder = new AttemptRecorder(context, admitted, demand);
@@ -221,7 +223,7 @@
         Attempt newAttempt = new Attempt(
                 choice,
                 demand.promptTokens() + (long) demand.maxOutputTokens(),
-                position.hasStarted(),
+                position.mustContinue(),
                 nowMillis,
                 context.observedMillis(),
                 context.responseMemory(),
@@ -245,7 +247,11 @@
                         headers,
                         body,
                         !route.isRetryable(),
-                        new AttemptListener(this, () -> attempt == newAttempt, this::onInternalError));
+                        new AttemptListener(
+                                this,
+                                () -> attempt == newAttempt,
+                                () -> suspension.end(newAttempt),
+                                this::onInternalError));
         if (attempt == newAttempt) {
             newAttempt.handle = handle;
         }
@@ -388,8 +394,8 @@
             onAttemptFailed(AttemptOutcome.BROKEN, "stream ended in the middle of an event", nowMillis);
             return;
         }
-        // An empty response does not prove that the interrupted stream was complete.
-        if (attempt.awaitsContinuation()) {
+        // An empty response does not prove that the stream which this exchange has begun was complete.
+        if (position.hasStarted() && attempt.awaitsContinuation()) {
             onAttemptFailed(AttemptOutcome.BROKEN, "resumed stream ended without an event", nowMillis);
             return;
         }
@@ -564,6 +570,7 @@
 
     private boolean isEventStream() {
         return route.isStreaming()
+                && !request.method().equals(HttpMethod.HEAD)
                 && responses.isSuccessWithProof(attempt.response)
                 && position.mayContinueWith(attempt.response);
     }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -24,6 +25,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -83,11 +85,16 @@
     }
 
     private String written() {
+        return writtenTo(channel);
+    }
+
+    private static String writtenTo(EmbeddedChannel connection) {
         StringBuilder text = new StringBuilder();
-        ByteBuf bytes = channel.readOutbound();
+        ByteBuf bytes = connection.readOutbound();
         while (bytes != null) {
             text.append(bytes.toString(StandardCharsets.US_ASCII));
-            bytes = channel.readOutbound();
+            bytes.release();
+            bytes = connection.readOutbound();
         }
         return text.toString();
     }
@@ -161,6 +168,57 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    /** Remembers the buffers that it has allocated. */
+    private static final class RecordingAllocator extends PooledByteBufAllocator {
+        private final List<ByteBuf> allocated = new ArrayList<>();
+
+        RecordingAllocator() {
+            super(false);
+        }
+
+        @Override
+        protected ByteBuf newHeapBuffer(int initialCapacity, int maxCapacity) {
+            ByteBuf buffer = super.newHeapBuffer(initialCapacity, maxCapacity);
+            allocated.add(buffer);
+            return buffer;
+        }
+    }
+
+    // Each stream without bytes behind its last event left a buffer that was neither sent nor released.
+    @Test
+    void releasesAllBuffersOfAStreamThatEndsWithAnEmptyPart() {
+        RecordingAllocator allocator = new RecordingAllocator();
+        channel.config().setAllocator(allocator);
+        handler.addStreamData(text());
+        handler.flushStream();
+        handler.addStreamData(Unpooled.EMPTY_BUFFER);
+        handler.endStream();
+        channel.releaseOutbound();
+        assertThat(allocator.allocated).isNotEmpty().allMatch(buffer -> buffer.refCnt() == 0);
+    }
+
+    // The body of an error followed a response that has none, where the caller expects the next response.
+    @Test
+    void writesNoBodyOfAnErrorToAHeadRequest() {
+        EmbeddedChannel connection = connectionWithRequest("HEAD /x HTTP/1.1");
+        callerOf(connection).sendError(ErrorKind.NO_UPSTREAM, 0);
+        assertThat(writtenTo(connection)).endsWith("\r\n\r\n").containsIgnoringCase("content-length");
+    }
+
+    private EmbeddedChannel connectionWithRequest(String requestLine) {
+        EmbeddedChannel connection = new EmbeddedChannel(
+                new StrictRequestDecoder(65_536),
+                new HttpResponseEncoder(),
+                new CallerChannelHandler(gateway.callerServer(), ClientLimits.DEFAULT));
+        connection.freezeTime();
+        connection.writeInbound(Unpooled.copiedBuffer(requestLine + "\r\nHost: h\r\nContent-Length: 5\r\n\r\n", StandardCharsets.US_ASCII));
+        return connection;
+    }
+
+    private static CallerChannelHandler callerOf(EmbeddedChannel connection) {
+        return connection.pipeline().get(CallerChannelHandler.class);
+    }
+
     @Nested
     class PipelinedRequests {
         private final CallerChannelHandler failing = new CallerChannelHandler(gateway.callerServer(), null);
@@ -183,6 +241,8 @@
 
     @Nested
     class CloseDelimitedStreams {
+        private static final int MORE_THAN_SOCKETS_HOLD = 64 << 20;
+
         private final NioEventLoopGroup group = new NioEventLoopGroup(1);
         private final CompletableFuture<CallerChannelHandler> accepted = new CompletableFuture<>();
 
@@ -238,6 +298,17 @@
             assertThatThrownBy(() -> readStream(CallerChannelHandler::abort)).isInstanceOf(SocketException.class);
         }
 
+        // The caller took a stream without its last events for a complete one.
+        @Test
+        void areResetIfTheyAreClosedBeforeAllIsSent() {
+            assertThatThrownBy(() -> readStream(caller -> {
+                        caller.addStreamData(Unpooled.wrappedBuffer(new byte[MORE_THAN_SOCKETS_HOLD]));
+                        caller.endStream();
+                        caller.abort();
+                    }))
+                    .isInstanceOf(SocketException.class);
+        }
+
         @Test
         void areClosedIfTheyAreComplete() throws Exception {
             assertThat(new String(readStream(CallerChannelHandler::endStream), StandardCharsets.US_ASCII))
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.handler.codec.http.HttpMethod;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -272,6 +274,16 @@
             assertThat(context.response).isEqualTo("200 stream aborted");
         }
 
+        // The end of the chunks followed a response that has none, where the caller expects the next response.
+        @Test
+        void areNotStartedForAHeadRequest() {
+            context.method = HttpMethod.HEAD;
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.response).isEqualTo("200 ");
+        }
+
         @Test
         void areAbortedIfAnEventIsMissing() {
             context.start(RouteKind.EVENT_STREAM, false, 1);
@@ -522,6 +534,109 @@
         }
     }
 
+    @Nested
+    class StreamsThatACallerTakesUp {
+        private static final long TAKEN_UP_AFTER = 12;
+
+        StreamsThatACallerTakesUp() {
+            context.lastEventId = OptionalLong.of(TAKEN_UP_AFTER);
+            context.versions.markComplete();
+        }
+
+        private void startAndSend(boolean resumable, String events) {
+            context.start(RouteKind.EVENT_STREAM, resumable, 1);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData(events);
+        }
+
+        @Test
+        void goOnAfterTheLastEventOfTheCaller() {
+            startAndSend(true, "id: 13\ndata: a\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.lastAttempt().lastEventId).isEqualTo(TAKEN_UP_AFTER);
+            assertThat(context.streamedEvents).hasToString("id: 13\ndata: a\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        @Test
+        void areCompleteWithoutAnEventIfTheCallerHasTheLastOne() {
+            startAndSend(true, "");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        // The caller got event 14 after event 12, or events of two runs, in a response that looked complete.
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "id: 14\ndata: b\n\n",
+                    "id: 1\ndata: x\n\nid: 2\ndata: y\n\n",
+                    "id: 12\ndata: x\n\nid: 13\ndata: a\n\n",
+                    "data: a\n\n"
+                })
+        void doNotGoOnWithARunThatDoesNotContinueAfterTheLastEventOfTheCaller(String events) {
+            startAndSend(true, events);
+            assertThat(context.streamedEvents).hasToString("");
+            assertThat(context.response).isEqualTo("502 upstream-failed");
+        }
+
+        @Test
+        void goOnAtAnotherUpstreamIfTheFirstDoesNotContinueThem() {
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: x\n\n");
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 13\ndata: a\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.lastAttempt().lastEventId).isEqualTo(TAKEN_UP_AFTER);
+            assertThat(context.streamedEvents).hasToString("id: 13\ndata: a\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        // The caller of a stream that begins anew got it without its first events.
+        @Test
+        void beginAnewWhereTheRouteDoesNotResumeStreams() {
+            startAndSend(false, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+    }
+
+    @Nested
+    class SuspendedAttempts {
+        private FakeExchangeContext.FakeAttempt suspendFirst(int maxUpstreams) {
+            Exchange exchange = context.start(RouteKind.EVENT_STREAM, true, maxUpstreams);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\nid: 2\nda");
+            context.currentMillis += 1_600;
+            exchange.tick(context.currentMillis);
+            assertThat(context.attempts).hasSize(2);
+            return context.attempts.get(0);
+        }
+
+        @Test
+        void goOnInsideTheEventAtWhichTheyWereSuspended() {
+            FakeExchangeContext.FakeAttempt first = suspendFirst(2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 2\ndata: ot");
+            context.lastAttempt().listener.onFailure("reset");
+            first.sendData("ta: b\n\n");
+            first.listener.onEnd();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
+        // The exchange waited for an attempt whose end it had ignored.
+        @Test
+        void areNotResumedAfterTheyHaveFailed() {
+            FakeExchangeContext.FakeAttempt first = suspendFirst(2);
+            first.listener.onFailure("reset");
+            context.lastAttempt().respond(500, FakeExchangeContext.PROOF, "error");
+            assertThat(context.response).isEqualTo("200 stream aborted");
+        }
+    }
+
     @Nested
     class InternalErrors {
         @Test
