--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/LayeringTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/LayeringTest.java
@@ -17,6 +17,7 @@
             .resideInAnyPackage(
                     "org.lovagethread.gateway.policy",
                     "org.lovagethread.gateway.config",
+                    "org.lovagethread.gateway.link",
                     "org.lovagethread.gateway.rollout",
                     "org.lovagethread.gateway.upstream")
             .should()
@@ -27,6 +28,7 @@
     static final ArchRule DECISION_LOGIC_DOES_NOT_READ_CLOCK = noClasses()
             .that()
             .resideInAnyPackage(
+                    "org.lovagethread.gateway.link",
                     "org.lovagethread.gateway.policy",
                     "org.lovagethread.gateway.upstream",
                     "org.lovagethread.gateway.duty",
