Lead callers away from a gateway that is cut off from all upstreams

Callers: their first tries went on to a gateway that reached no upstream, through its address in all answers and through open connections.

Cause: gateways did not judge their links as a whole, and told peers nothing of them.

Change: connections to upstreams report to the LinkMonitor, which also probes by opening connections. The state sent to peers holds its conclusion, at once after a change; isolated gateways are left out of the addresses unless no other remains, and out of the summaries of cells. While isolated, a response ends its connection unless a further request has been received on it; idle connections stay open, and the gateway stays ready. After the return the failures that were not the upstreams' fault are forgotten, so that all of them receive requests again. The response to peers' requests moves from Gateway to PeerExchange, which knows the paths. Log lines links-lost and links-restored, gauges links_isolated, links_lost and link_probes.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -385,8 +385,12 @@
         channel.config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : -1);
     }
 
+    /** Returns whether the response is the last on its connection. No request that has been received goes unread for it. */
     private boolean mustCloseAfterResponse() {
-        return closing || server.isDraining() || (request != null && !HttpUtil.isKeepAlive(request));
+        return closing
+                || server.isDraining()
+                || (request != null && !HttpUtil.isKeepAlive(request))
+                || (queued.isEmpty() && server.leadsCallersAway());
     }
 
     private void writeResponse(HttpResponse response, boolean close) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
@@ -124,6 +124,11 @@
         return gateway.nowMillis();
     }
 
+    /** Returns whether callers are better served by other gateways, so that their connections are to be closed. */
+    boolean leadsCallersAway() {
+        return gateway.links().leadsCallersAway();
+    }
+
     /** Returns whether the event loop is lagging, so that requests read now may have been waiting for long. */
     boolean isLagging() {
         return gateway.isLagging();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -97,6 +97,11 @@
         }
     }
 
+    /** Sends the next summary at once, because the addresses for callers have changed. */
+    void sendSoon() {
+        nextSendMillis = 0;
+    }
+
     void receive(List<CellState> summaries, long nowMillis) {
         if (!summaries.isEmpty()) {
             gateway.peers().recordCellSummary(nowMillis);
@@ -226,7 +231,7 @@
         gateway.lease().resignedTerm().ifPresent(state::addResignedTerms);
         int members = 1;
         boolean storeReachable = gateway.isReady() && gateway.sync().canWatch();
-        if (gateway.isReady()) {
+        if (gateway.isReady() && !gateway.links().isIsolated()) {
             state.addReadyHosts(gateway.settings().host());
         }
         for (Peer peer : peers.livePeers(nowMillis)) {
@@ -237,7 +242,9 @@
                 state.addResignedTerms(peerState.getResignedTerm());
             }
             if (peerState.getReady() && !peerState.getStopping()) {
-                state.addReadyHosts(peerState.getHost());
+                if (!peerState.getLinks().getIsolated()) {
+                    state.addReadyHosts(peerState.getHost());
+                }
                 storeReachable |= peerState.getStoreReachable();
             }
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -84,6 +84,7 @@
     private final UpstreamSpeedMonitor speedMonitor;
     private final PauseReporter pauseReporter;
     private final LagDetector lagDetector = new LagDetector();
+    private final LinkService links = new LinkService(this, loop);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final EraStore store;
     private final AddressPolicy addressPolicy;
@@ -177,7 +178,8 @@
                 ports.headerCodec(),
                 this::nowMillis,
                 bounds.silenceTimeouts().contactMillis(),
-                this::onLeavingNotice);
+                this::onLeavingNotice,
+                links.monitor());
         store.onRestore(() -> loop.execute(sync::onRestore));
         store.onRestore(promptEvidence::onRestore);
         this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
@@ -197,7 +199,7 @@
         listen(settings.readinessAddress(), channel -> SimpleHttpServer.accept(channel, this::discoveryResponse));
         listen(settings.directoryAddress(), channel -> SimpleHttpServer.accept(channel, this::discoveryResponse));
         listen(settings.metricsAddress(), channel -> SimpleHttpServer.accept(channel, request -> metricsResponse()));
-        listen(peerAddress(), channel -> SimpleHttpServer.accept(channel, this::peerResponse));
+        listen(peerAddress(), channel -> SimpleHttpServer.accept(channel, peerExchange::response));
         peerExchange.open(loop);
         log.add(log.line("started")
                 .put("incarnation", incarnation)
@@ -350,6 +352,7 @@
         rollouts.expose(metrics);
         speedMonitor.updateMetrics(metrics, nowMillis());
         upstreamClient.publish(metrics);
+        links.publish(metrics);
         return new SimpleHttpServer.Response(
                 HttpResponseStatus.OK, "text/plain; version=0.0.4", ByteString.copyFrom(metrics.exposition()));
     }
@@ -426,6 +429,10 @@
         return peers;
     }
 
+    LinkService links() {
+        return links;
+    }
+
     ZoneTrafficExchange zoneTraffic() {
         return zoneTraffic;
     }
@@ -479,17 +486,6 @@
         return new InetSocketAddress(settings.metricsAddress().getAddress(), settings.peerPort());
     }
 
-    private SimpleHttpServer.Response peerResponse(FullHttpRequest request) {
-        ByteString body =
-                switch (request.uri()) {
-                    case PeerExchange.CONFIGURATION_URI -> sync.compressedConfiguration()
-                            .orElse(ByteString.EMPTY);
-                    case PeerExchange.UPSTREAMS_URI -> sync.compressedUpstreams();
-                    default -> ByteString.EMPTY;
-                };
-        return new SimpleHttpServer.Response(HttpResponseStatus.OK, "application/octet-stream", body);
-    }
-
     @Override
     public void schedule(long delayMillis, Runnable action) {
         loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/LinkService.java
@@ -0,0 +1,100 @@
+package org.lovagethread.gateway.http;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import org.lovagethread.gateway.link.LinkChange;
+import org.lovagethread.gateway.link.LinkMonitor;
+import org.lovagethread.gateway.log.EventLog;
+import org.lovagethread.gateway.log.GatewayMetrics;
+import org.lovagethread.gateway.log.LogLine;
+import org.lovagethread.gateway.upstream.Upstream;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.wire.generated.GatewayState;
+
+/** Connects the judgement of the gateway's links to all upstreams with its connections, its peers and the log. */
+final class LinkService {
+    /** Interval between two judgements, in milliseconds. */
+    private static final long INTERVAL_MILLIS = 50;
+
+    private final Gateway gateway;
+    private final LinkMonitor monitor = new LinkMonitor(Math::random);
+    private final LinkProber prober;
+    private long losses;
+    private long nextTickMillis;
+
+    LinkService(Gateway gateway, EventLoop loop) {
+        this.gateway = gateway;
+        this.prober = new LinkProber(loop, monitor, gateway::nowMillis);
+    }
+
+    /** Returns the monitor, to which connections report. */
+    LinkMonitor monitor() {
+        return monitor;
+    }
+
+    /** Returns whether this gateway is cut off from all upstreams although others should be reachable. */
+    boolean isIsolated() {
+        return monitor.isIsolated();
+    }
+
+    /** Returns whether callers are better served by other gateways, so that their connections are to be closed. */
+    boolean leadsCallersAway() {
+        return monitor.isIsolated() && monitor.isPeerConnected(gateway.nowMillis());
+    }
+
+    /** Draws conclusions, begins probes, and returns whether peers must learn of a change at once. */
+    boolean tick(long nowMillis) {
+        if (nowMillis < nextTickMillis) {
+            return false;
+        }
+        nextTickMillis = nowMillis + INTERVAL_MILLIS;
+        List<UpstreamEntry> candidates = new ArrayList<>();
+        boolean requestsUnderWay = false;
+        for (Upstream upstream : gateway.upstreams().all()) {
+            requestsUnderWay |= upstream.load().local().inFlight() > 0;
+            if (!upstream.entry().leaving()) {
+                candidates.add(upstream.entry());
+            }
+        }
+        monitor.tick(candidates, requestsUnderWay, nowMillis);
+        monitor.beginProbes(nowMillis).forEach(prober::probe);
+        return monitor.takeChange().map(this::onChange).isPresent();
+    }
+
+    /** Adds what this gateway knows about its links to its state. */
+    void addTo(GatewayState.Builder state, long nowMillis) {
+        state.setLinks(LinkStateCodec.encode(monitor.statement(nowMillis)));
+    }
+
+    /** Applies the state of a peer. */
+    void applyPeer(GatewayState state, long nowMillis) {
+        monitor.recordPeer(state.getNode(), LinkStateCodec.decode(state), nowMillis);
+    }
+
+    /** Sets the gauges of the links. */
+    void publish(GatewayMetrics metrics) {
+        metrics.setState("links_isolated", monitor.isIsolated() ? 1 : 0);
+        metrics.setState("links_lost", losses);
+        metrics.setState("link_probes", prober.probes());
+    }
+
+    private LinkChange onChange(LinkChange change) {
+        EventLog log = gateway.log();
+        if (change instanceof LinkChange.Lost lost) {
+            losses++;
+            log.add(log.line("links-lost")
+                    .put("failed_upstreams", lost.failedUpstreams())
+                    .put("known_upstreams", lost.knownUpstreams())
+                    .put("reaching_peers", lost.reachingPeers())
+                    .put("trouble_ms", lost.troubleMillis()));
+        } else if (change instanceof LinkChange.Restored restored) {
+            gateway.upstreams().all().forEach(upstream -> upstream.failureDetector()
+                    .forget());
+            LogLine line = log.line("links-restored");
+            log.add(line.put("answered_upstreams", restored.answeredUpstreams())
+                    .put("isolated_ms", restored.isolatedMillis()));
+        }
+        return change;
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
@@ -35,10 +36,10 @@
 /** Sends the state of this gateway to its peers and applies the states received from them. */
 final class PeerExchange {
     /** Path under which a gateway serves its configuration to peers. */
-    static final String CONFIGURATION_URI = "/configuration";
+    private static final String CONFIGURATION_URI = "/configuration";
 
     /** Path under which a gateway serves its upstreams to peers. */
-    static final String UPSTREAMS_URI = "/upstreams";
+    private static final String UPSTREAMS_URI = "/upstreams";
 
     /** Interval between two state messages while each gateway sends to all others, in milliseconds. */
     private static final long SEND_INTERVAL_MILLIS = 140;
@@ -72,6 +73,8 @@
 
     private static final long FETCH_TIMEOUT_MILLIS = 2_000;
 
+    private static final String CONTENT_TYPE = "application/octet-stream";
+
     private final Gateway gateway;
     private final PooledHttpClient httpClient;
     private final CellExchange cellExchange;
@@ -113,6 +116,10 @@
     }
 
     void tick(long nowMillis) {
+        if (gateway.links().tick(nowMillis)) {
+            nextSendMillis = nowMillis;
+            cellExchange.sendSoon();
+        }
         if (nowMillis >= nextSendMillis) {
             nextSendMillis =
                     nowMillis + (gateway.peers().usesCells() ? CELL_SEND_INTERVAL_MILLIS : SEND_INTERVAL_MILLIS);
@@ -150,6 +157,19 @@
                 maintainsRegistry, gateway.peers().livePeers(nowMillis).isEmpty(), nowMillis);
     }
 
+    /** Responds to a request of a peer for the configuration or the upstreams. */
+    SimpleHttpServer.Response response(FullHttpRequest request) {
+        ByteString body =
+                switch (request.uri()) {
+                    case CONFIGURATION_URI -> gateway.sync()
+                            .compressedConfiguration()
+                            .orElse(ByteString.EMPTY);
+                    case UPSTREAMS_URI -> gateway.sync().compressedUpstreams();
+                    default -> ByteString.EMPTY;
+                };
+        return new SimpleHttpServer.Response(HttpResponseStatus.OK, CONTENT_TYPE, body);
+    }
+
     void send(GatewayDatagram datagram, Set<String> hosts) {
         peerChannel.send(datagram, hosts);
     }
@@ -159,21 +179,26 @@
         return cellExchange.unreachableGateways(nowMillis);
     }
 
-    /** Returns the addresses of all gateways that accept requests, including this one. */
+    /**
+     * Returns the addresses of all gateways that accept requests, including this one. Those that are cut off from all
+     * upstreams are left out unless no other remains.
+     */
     List<GatewayAddress> readyGateways(long nowMillis) {
-        List<GatewayAddress> addresses = new ArrayList<>();
+        List<GatewayAddress> connected = new ArrayList<>(cellExchange.readyGateways(nowMillis));
+        List<GatewayAddress> isolated = new ArrayList<>();
         if (gateway.isReady()) {
-            addresses.add(new GatewayAddress(
-                    gateway.settings().host(), gateway.settings().zone()));
+            (gateway.links().isIsolated() ? isolated : connected)
+                    .add(new GatewayAddress(
+                            gateway.settings().host(), gateway.settings().zone()));
         }
         for (Peer peer : gateway.peers().livePeers(nowMillis)) {
-            if (peer.state().getReady() && !peer.state().getStopping()) {
-                addresses.add(
-                        new GatewayAddress(peer.state().getHost(), peer.state().getZone()));
+            GatewayState state = peer.state();
+            if (state.getReady() && !state.getStopping()) {
+                (state.getLinks().getIsolated() ? isolated : connected)
+                        .add(new GatewayAddress(state.getHost(), state.getZone()));
             }
         }
-        addresses.addAll(cellExchange.readyGateways(nowMillis));
-        return addresses;
+        return connected.isEmpty() ? isolated : connected;
     }
 
     /**
@@ -230,6 +255,7 @@
             addUsageCounts(state, nowMillis);
         }
         gateway.streamOriginService().addTo(state);
+        gateway.links().addTo(state, nowMillis);
         state.addAllRollouts(gateway.rolloutService().gatewaySummaries(nowMillis));
         return state.addAllZoneFlows(
                         gateway.zoneTraffic().reportForPeers(gateway.peers().usesCells(), nowMillis))
@@ -265,15 +291,27 @@
     private void receive(GatewayDatagram datagram) {
         long now = gateway.nowMillis();
         cellExchange.receive(datagram.getCellsList(), now);
+        boolean wasIsolated = isIsolated(datagram.getState().getHost());
         if (datagram.hasState() && gateway.peers().update(datagram.getState(), now)) {
+            if (wasIsolated != datagram.getState().getLinks().getIsolated()) {
+                cellExchange.sendSoon();
+            }
             apply(datagram.getState(), now);
         }
     }
 
+    private boolean isIsolated(String host) {
+        return gateway.peers()
+                .find(host)
+                .filter(peer -> peer.state().getLinks().getIsolated())
+                .isPresent();
+    }
+
     private void apply(GatewayState state, long now) {
         String process = state.getNode() + '#' + state.getIncarnation();
         gateway.rolloutService().applyGateway(process, state.getRolloutsList(), now);
         gateway.streamOriginService().applyPeer(state, now);
+        gateway.links().applyPeer(state, now);
         gateway.clock().update(state.getNode(), state.getWallClockMillis(), now);
         gateway.lease().recordPeerResignation(state.getResignedTerm());
         if (state.getUpstreamsRevision() >= 0) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -157,6 +157,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object object) {
+        client.links().recordReceived(client.nowMillis());
         try {
             if (listener == null) {
                 discard();
@@ -329,6 +330,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         connectionReset = true;
+        client.links().recordReset(client.nowMillis());
         fail("connection failed: " + cause.getClass().getSimpleName());
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/link/LinkTrouble.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/link/LinkTrouble.java
@@ -73,6 +73,9 @@
      * @return the time in milliseconds; empty if too few have failed
      */
     OptionalLong wideSinceMillis(Collection<UpstreamEntry> known) {
+        if (failures.isEmpty()) {
+            return OptionalLong.empty();
+        }
         int upstreams = Math.min(MIN_FAILED_UPSTREAMS, known.size());
         long services = countUpToVariety(
                 known.stream().map(UpstreamEntry::service).distinct().count());
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FailureDetector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/FailureDetector.java
@@ -82,6 +82,13 @@
         return true;
     }
 
+    /** Forgets all outcomes, which turned out to be no fault of the upstream. */
+    public void forget() {
+        failures = 0;
+        successes = 0;
+        unreachableUntilMillis = 0;
+    }
+
     private void decay(long nowMillis) {
         if (nowMillis > decayedMillis) {
             double factor = Math.pow(0.5, (nowMillis - decayedMillis) / HALF_LIFE_MILLIS);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lovagethread.gateway.SilenceTimeouts;
 import org.lovagethread.gateway.config.RouteKind;
+import org.lovagethread.gateway.link.LinkMonitor;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 /** Checks that bytes without end are given up, whether they arrive in a head, in a body or instead of a response. */
@@ -60,7 +61,12 @@
         private String assertClosed(String first, String repeated) throws Exception {
             try (EndlessServer server = new EndlessServer(first, repeated)) {
                 NettyUpstreamClient client = new NettyUpstreamClient(
-                        loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
+                        loop,
+                        context,
+                        System::currentTimeMillis,
+                        MAX_IDLE_MILLIS,
+                        upstream -> {},
+                        new LinkMonitor(Math::random));
                 loop.execute(() -> send(client, server.address()));
                 String reason = failure.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
                 assertThat(server.awaitClosedByClient(TIMEOUT_MILLIS)).isTrue();
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -33,6 +33,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.lovagethread.gateway.link.LinkMonitor;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 class UpstreamConnectionTest {
@@ -127,7 +128,12 @@
         private final UpstreamEntry upstream =
                 new UpstreamEntry("i-1", "desk", "10.0.0.1", 80, "a", 6, false, false, 1);
         private final NettyUpstreamClient client = new NettyUpstreamClient(
-                new DefaultEventLoop(), context, System::currentTimeMillis, MAX_IDLE_MILLIS, leaving::add);
+                new DefaultEventLoop(),
+                context,
+                System::currentTimeMillis,
+                MAX_IDLE_MILLIS,
+                leaving::add,
+                new LinkMonitor(Math::random));
         private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
         private final UpstreamConnection connection = new UpstreamConnection(client, upstream, decoder);
         private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
@@ -257,8 +263,13 @@
     private abstract class OverSockets {
         final NioEventLoopGroup group = new NioEventLoopGroup(1);
         final EventLoop loop = group.next();
-        final NettyUpstreamClient client =
-                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
+        final NettyUpstreamClient client = new NettyUpstreamClient(
+                loop,
+                context,
+                System::currentTimeMillis,
+                MAX_IDLE_MILLIS,
+                upstream -> {},
+                new LinkMonitor(Math::random));
 
         @AfterEach
         void stop() {
@@ -331,8 +342,8 @@
         @Test
         void endsWhenAConnectionMayHaveGoneSilent() throws Exception {
             AtomicLong now = new AtomicLong();
-            NettyUpstreamClient timedClient =
-                    new NettyUpstreamClient(loop, context, now::get, MAX_IDLE_MILLIS, upstream -> {});
+            NettyUpstreamClient timedClient = new NettyUpstreamClient(
+                    loop, context, now::get, MAX_IDLE_MILLIS, upstream -> {}, new LinkMonitor(Math::random));
             ScriptedServer.Script script = (connection, request) -> ScriptedServer.Reply.keep(
                     withId(SUCCESS + "Keep-Alive: timeout=60\r\n", connection == 1 ? "a" : "b") + "ok");
             try (ScriptedServer server = new ScriptedServer(script)) {
