Count only failures of the network as failed connections to upstreams

Cause: all probes shared one handler, which Netty adds to one channel only, so that further probes failed in the gateway itself, were counted as failures of the links, and were closed on another thread.

LinkReporter, which probes and requests now share, counts a failure only if the network caused it; a probe that ended for another reason is recorded as abandoned.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -179,7 +179,7 @@
                 this::nowMillis,
                 bounds.silenceTimeouts().contactMillis(),
                 this::onLeavingNotice,
-                links.monitor());
+                links.reporter());
         store.onRestore(() -> loop.execute(sync::onRestore));
         store.onRestore(promptEvidence::onRestore);
         this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/LinkService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/LinkService.java
@@ -19,18 +19,20 @@
 
     private final Gateway gateway;
     private final LinkMonitor monitor = new LinkMonitor(Math::random);
+    private final LinkReporter reporter;
     private final LinkProber prober;
     private long losses;
     private long nextTickMillis;
 
     LinkService(Gateway gateway, EventLoop loop) {
         this.gateway = gateway;
-        this.prober = new LinkProber(loop, monitor, gateway::nowMillis);
+        this.reporter = new LinkReporter(monitor, gateway::nowMillis);
+        this.prober = new LinkProber(loop, reporter);
     }
 
-    /** Returns the monitor, to which connections report. */
-    LinkMonitor monitor() {
-        return monitor;
+    /** Returns what connections to upstreams report to. */
+    LinkReporter reporter() {
+        return reporter;
     }
 
     /** Returns whether this gateway is cut off from all upstreams although others should be reachable. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
@@ -17,8 +17,6 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.Future;
-import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -26,7 +24,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.lovagethread.gateway.link.LinkMonitor;
 import org.lovagethread.gateway.log.GatewayMetrics;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
@@ -47,7 +44,7 @@
     private final LongSupplier clock;
     private final long maxIdleMillis;
     private final Consumer<UpstreamEntry> leavingListener;
-    private final LinkMonitor links;
+    private final LinkReporter links;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long openedConnections;
     private long connectionsWithSurplusBytes;
@@ -59,7 +56,7 @@
             LongSupplier clock,
             long maxIdleMillis,
             Consumer<UpstreamEntry> leavingListener,
-            LinkMonitor links) {
+            LinkReporter links) {
         this.links = links;
         this.leavingListener = leavingListener;
         this.maxIdleMillis = maxIdleMillis;
@@ -129,7 +126,7 @@
         return maxIdleMillis;
     }
 
-    LinkMonitor links() {
+    LinkReporter links() {
         return links;
     }
 
@@ -181,27 +178,11 @@
                 .connect(upstream.host(), upstream.port());
         Channel channel = connecting.channel();
         RequestHandle handle = connection.prepare(channel, message, listener);
-        long beganMillis = nowMillis();
-        connecting.addListener(future -> {
-            recordConnection(upstream, future, beganMillis);
-            connection.onConnected(future.isSuccess());
-        });
+        links.follow(upstream, connecting);
+        connecting.addListener(future -> connection.onConnected(future.isSuccess()));
         return handle;
     }
 
-    private void recordConnection(UpstreamEntry upstream, Future<?> ended, long beganMillis) {
-        if (ended.isSuccess()) {
-            links.recordConnected(upstream, nowMillis());
-        } else if (!isClosedByGateway(ended.cause())) {
-            links.recordFailed(upstream, beganMillis, nowMillis());
-        }
-    }
-
-    /** Returns whether a connection failed only because its request was cancelled. */
-    private static boolean isClosedByGateway(Throwable cause) {
-        return cause instanceof ClosedChannelException;
-    }
-
     private static FullHttpRequest toUpstreamRequest(HttpRequest request, HttpHeaders headers, ByteBuf body) {
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, request.method(), request.uri(), body.retainedDuplicate(), false);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -157,7 +157,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object object) {
-        client.links().recordReceived(client.nowMillis());
+        client.links().onReceived();
         try {
             if (listener == null) {
                 discard();
@@ -330,7 +330,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         connectionReset = true;
-        client.links().recordReset(client.nowMillis());
+        client.links().onReset();
         fail("connection failed: " + cause.getClass().getSimpleName());
     }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/link/LinkMonitor.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/link/LinkMonitor.java
@@ -135,6 +135,15 @@
         recovery.recordFailed(upstream.id());
     }
 
+    /**
+     * Records that a connection to an upstream was given up for other reasons, which says nothing about the links.
+     *
+     * @param upstream the upstream
+     */
+    public void recordAbandoned(UpstreamEntry upstream) {
+        probes.end(upstream.id());
+    }
+
     /**
      * Records that bytes were received from an upstream.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
@@ -66,7 +66,7 @@
                         System::currentTimeMillis,
                         MAX_IDLE_MILLIS,
                         upstream -> {},
-                        new LinkMonitor(Math::random));
+                        new LinkReporter(new LinkMonitor(Math::random), System::currentTimeMillis));
                 loop.execute(() -> send(client, server.address()));
                 String reason = failure.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
                 assertThat(server.awaitClosedByClient(TIMEOUT_MILLIS)).isTrue();
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -133,7 +133,7 @@
                 System::currentTimeMillis,
                 MAX_IDLE_MILLIS,
                 leaving::add,
-                new LinkMonitor(Math::random));
+                new LinkReporter(new LinkMonitor(Math::random), System::currentTimeMillis));
         private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
         private final UpstreamConnection connection = new UpstreamConnection(client, upstream, decoder);
         private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
@@ -269,7 +269,7 @@
                 System::currentTimeMillis,
                 MAX_IDLE_MILLIS,
                 upstream -> {},
-                new LinkMonitor(Math::random));
+                new LinkReporter(new LinkMonitor(Math::random), System::currentTimeMillis));
 
         @AfterEach
         void stop() {
@@ -343,7 +343,12 @@
         void endsWhenAConnectionMayHaveGoneSilent() throws Exception {
             AtomicLong now = new AtomicLong();
             NettyUpstreamClient timedClient = new NettyUpstreamClient(
-                    loop, context, now::get, MAX_IDLE_MILLIS, upstream -> {}, new LinkMonitor(Math::random));
+                    loop,
+                    context,
+                    now::get,
+                    MAX_IDLE_MILLIS,
+                    upstream -> {},
+                    new LinkReporter(new LinkMonitor(Math::random), System::currentTimeMillis));
             ScriptedServer.Script script = (connection, request) -> ScriptedServer.Reply.keep(
                     withId(SUCCESS + "Keep-Alive: timeout=60\r\n", connection == 1 ? "a" : "b") + "ok");
             try (ScriptedServer server = new ScriptedServer(script)) {
