Tell other cells which of them reach upstreams

Callers: in systems with more gateways than form a mesh, a whole availability zone that was cut off would have been isolated only from 1.5 s to never, since all peers whose state arrives were cut off too.

Cause: a gateway receives the state of its own cell only; the summaries of other cells did not tell whether they reach upstreams.

Change: CellState.links holds the combined statement of a cell, isolated if all are, with the latest contact of those that are not. Its age is raised by the time that a summary may spend at speakers.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -154,6 +154,7 @@
     private void apply(CellState state, long nowMillis) {
         String cell = CELL_PREFIX + state.getZone();
         gateway.zoneTraffic().apply(state, nowMillis);
+        gateway.links().applyCell(cell, state, nowMillis);
         gateway.rolloutService().applyCell(cell, state.getMembers(), state.getRolloutsList(), nowMillis);
         LeavingMarkCodec.applyPeer(
                 state.getLeavingUpstreamsList(), state.getLeavingRemainingMillisList(), gateway.upstreams(), nowMillis);
@@ -250,6 +251,7 @@
         }
         state.setLeader(leaderPresent).setMembers(members).setStoreReachable(storeReachable);
         addUpstreamUses(state, nowMillis);
+        gateway.links().addTo(state, nowMillis);
         gateway.quota()
                 .totalsExcept(CELL_PREFIX)
                 .forEach((customer, tokens) -> state.addCustomers(
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/LinkService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/LinkService.java
@@ -5,11 +5,14 @@
 import java.util.List;
 import org.lovagethread.gateway.link.LinkChange;
 import org.lovagethread.gateway.link.LinkMonitor;
+import org.lovagethread.gateway.link.LinkStatement;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.log.GatewayMetrics;
 import org.lovagethread.gateway.log.LogLine;
+import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
+import org.lovagethread.wire.generated.CellState;
 import org.lovagethread.wire.generated.GatewayState;
 
 /** Connects the judgement of the gateway's links to all upstreams with its connections, its peers and the log. */
@@ -17,6 +20,9 @@
     /** Interval between two judgements, in milliseconds. */
     private static final long INTERVAL_MILLIS = 50;
 
+    /** Maximum time that the summary of another cell spends at the speakers that pass it on, in milliseconds. */
+    private static final long MAX_CELL_DELAY_MILLIS = 600;
+
     private final Gateway gateway;
     private final LinkMonitor monitor = new LinkMonitor(Math::random);
     private final LinkReporter reporter;
@@ -71,7 +77,23 @@
 
     /** Applies the state of a peer. */
     void applyPeer(GatewayState state, long nowMillis) {
-        monitor.recordPeer(state.getNode(), LinkStateCodec.decode(state), nowMillis);
+        monitor.recordPeer(state.getNode(), LinkStateCodec.decode(state.getLinks()), nowMillis);
+    }
+
+    /** Adds what the gateways of this cell know about their links to the summary of the cell. */
+    void addTo(CellState.Builder summary, long nowMillis) {
+        List<LinkStatement> statements = new ArrayList<>();
+        statements.add(monitor.statement(nowMillis));
+        for (PeerTable.Peer peer : gateway.peers().livePeers(nowMillis)) {
+            statements.add(LinkStateCodec.decode(peer.state().getLinks()).delayedBy(nowMillis - peer.receivedMillis()));
+        }
+        summary.setLinks(LinkStateCodec.encode(LinkStatement.combine(statements)));
+    }
+
+    /** Applies the summary of another cell, named by the cell. */
+    void applyCell(String cell, CellState summary, long nowMillis) {
+        LinkStatement statement = LinkStateCodec.decode(summary.getLinks());
+        monitor.recordPeer(cell, statement.delayedBy(MAX_CELL_DELAY_MILLIS), nowMillis);
     }
 
     /** Sets the gauges of the links. */
