Leave no pipelined request unread when callers are led away

Callers: a request that came in one packet with the one before it was not answered by a gateway that is cut off from all upstreams.

Cause: only requests that had been decoded counted as received.

Change: the connection ends after a response only if no bytes of a further request have arrived.

Evidence: LinkServiceTest.leavesNoPipelinedRequestUnread got one response of two before.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -385,12 +385,17 @@
         channel.config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : -1);
     }
 
-    /** Returns whether the response is the last on its connection. No request that has been received goes unread for it. */
+    /** Returns whether the response is the last on its connection. */
     private boolean mustCloseAfterResponse() {
         return closing
                 || server.isDraining()
                 || (request != null && !HttpUtil.isKeepAlive(request))
-                || (queued.isEmpty() && server.leadsCallersAway());
+                || (server.leadsCallersAway() && !hasReceivedNextRequest());
+    }
+
+    private boolean hasReceivedNextRequest() {
+        return !queued.isEmpty()
+                || channel.pipeline().get(StrictRequestDecoder.class).hasUnreadBytes();
     }
 
     private void writeResponse(HttpResponse response, boolean close) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StrictRequestDecoder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StrictRequestDecoder.java
@@ -11,6 +11,11 @@
         super(maxHeaderBytes, maxHeaderBytes, CHUNK_BYTES);
     }
 
+    /** Returns whether bytes have been received that are not decoded yet: the beginning of a further request. */
+    boolean hasUnreadBytes() {
+        return actualReadableBytes() > 0;
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("request has both Content-Length and Transfer-Encoding");
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/LinkServiceTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/LinkServiceTest.java
@@ -164,4 +164,16 @@
             assertThat(exchange(idleCaller)).containsIgnoringCase("connection: close");
         }
     }
+
+    @Test
+    void leavesNoPipelinedRequestUnread() throws Exception {
+        awaitIsolated(true);
+        try (Socket caller = connect()) {
+            caller.setSoTimeout(TIMEOUT_MILLIS);
+            caller.getOutputStream().write((REQUEST + REQUEST).getBytes(StandardCharsets.US_ASCII));
+            String responses = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(responses.split("HTTP/1.1 ", -1)).hasSize(3);
+            assertThat(responses).containsOnlyOnce("connection: close");
+        }
+    }
 }
