Conclude sooner that a gateway is cut off where connections hang

Cause: failures confirmed the loss only if their connections were begun after the latest contact of a peer, which is always recent.

Change: the first contact of a peer since many upstreams fail is the one that counts. It is forgotten with a return and with a standstill.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/link/LinkMonitor.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/link/LinkMonitor.java
@@ -290,11 +290,7 @@
         if (wideSinceMillis.isEmpty()) {
             contradictedMillis = OptionalLong.empty();
         } else if (contradictedMillis.isEmpty()) {
-            long fromMillis = wideSinceMillis.getAsLong() + CONTRADICTION_MILLIS;
-            OptionalLong reachedMillis = peers.reachedMillis();
-            contradictedMillis = reachedMillis.isPresent() && reachedMillis.getAsLong() > fromMillis
-                    ? reachedMillis
-                    : OptionalLong.empty();
+            contradictedMillis = peers.firstContactAfter(wideSinceMillis.getAsLong() + CONTRADICTION_MILLIS);
         }
     }
 
@@ -306,6 +302,7 @@
     private void concludeRestored(long nowMillis) {
         if (recovery.isComplete(known.size(), isPeerConnected(nowMillis), nowMillis)) {
             isolated = false;
+            contradictedMillis = OptionalLong.empty();
             change = Optional.of(
                     new LinkChange.Restored(recovery.answeredUpstreams(), recovery.isolatedMillis(nowMillis)));
             recovery.onRestored(nowMillis);
@@ -365,6 +362,7 @@
             trustedFromMillis = nowMillis + BACKLOG_MILLIS;
             trouble.clear();
             peers.clear();
+            contradictedMillis = OptionalLong.empty();
             recovery.forgetAnswers();
             resetSuspected = false;
             waitingSinceMillis = OptionalLong.empty();
