--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -400,8 +400,17 @@
         return request != null && request.method().equals(HttpMethod.HEAD);
     }
 
+    /** Returns whether the response is the last on its connection. */
     private boolean mustCloseAfterResponse() {
-        return closing || server.isDraining() || (request != null && !HttpUtil.isKeepAlive(request));
+        return closing
+                || server.isDraining()
+                || (request != null && !HttpUtil.isKeepAlive(request))
+                || (server.leadsCallersAway() && !hasReceivedNextRequest());
+    }
+
+    private boolean hasReceivedNextRequest() {
+        return !queued.isEmpty()
+                || channel.pipeline().get(StrictRequestDecoder.class).hasUnreadBytes();
     }
 
     private void writeResponse(HttpResponse response, boolean close) {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -97,6 +97,11 @@
         }
     }
 
+    /** Sends the next summary at once, because the addresses for callers have changed. */
+    void sendSoon() {
+        nextSendMillis = 0;
+    }
+
     void receive(List<CellState> summaries, long nowMillis) {
         if (!summaries.isEmpty()) {
             gateway.peers().recordCellSummary(nowMillis);
@@ -149,6 +154,7 @@
     private void apply(CellState state, long nowMillis) {
         String cell = CELL_PREFIX + state.getZone();
         gateway.zoneTraffic().apply(state, nowMillis);
+        gateway.links().applyCell(cell, state, nowMillis);
         gateway.rolloutService().applyCell(cell, state.getMembers(), state.getRolloutsList(), nowMillis);
         LeavingMarkCodec.applyPeer(
                 state.getLeavingUpstreamsList(), state.getLeavingRemainingMillisList(), gateway.upstreams(), nowMillis);
@@ -226,7 +232,7 @@
         gateway.lease().resignedTerm().ifPresent(state::addResignedTerms);
         int members = 1;
         boolean storeReachable = gateway.isReady() && gateway.sync().canWatch();
-        if (gateway.isReady()) {
+        if (gateway.isReady() && !gateway.links().isIsolated()) {
             state.addReadyHosts(gateway.settings().host());
         }
         for (Peer peer : peers.livePeers(nowMillis)) {
@@ -237,12 +243,15 @@
                 state.addResignedTerms(peerState.getResignedTerm());
             }
             if (peerState.getReady() && !peerState.getStopping()) {
-                state.addReadyHosts(peerState.getHost());
+                if (!peerState.getLinks().getIsolated()) {
+                    state.addReadyHosts(peerState.getHost());
+                }
                 storeReachable |= peerState.getStoreReachable();
             }
         }
         state.setLeader(leaderPresent).setMembers(members).setStoreReachable(storeReachable);
         addUpstreamUses(state, nowMillis);
+        gateway.links().addTo(state, nowMillis);
         gateway.quota()
                 .totalsExcept(CELL_PREFIX)
                 .forEach((customer, tokens) -> state.addCustomers(
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
@@ -44,6 +44,7 @@
     private final LongSupplier clock;
     private final long maxIdleMillis;
     private final Consumer<UpstreamEntry> leavingListener;
+    private final LinkReporter links;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long openedConnections;
     private long connectionsWithSurplusBytes;
@@ -54,7 +55,9 @@
             HeaderCodec headerCodec,
             LongSupplier clock,
             long maxIdleMillis,
-            Consumer<UpstreamEntry> leavingListener) {
+            Consumer<UpstreamEntry> leavingListener,
+            LinkReporter links) {
+        this.links = links;
         this.leavingListener = leavingListener;
         this.maxIdleMillis = maxIdleMillis;
         this.headerCodec = headerCodec;
@@ -123,6 +126,10 @@
         return maxIdleMillis;
     }
 
+    LinkReporter links() {
+        return links;
+    }
+
     HeaderCodec headerCodec() {
         return headerCodec;
     }
@@ -171,6 +178,7 @@
                 .connect(upstream.host(), upstream.port());
         Channel channel = connecting.channel();
         RequestHandle handle = connection.prepare(channel, message, listener);
+        links.follow(upstream, connecting);
         connecting.addListener(future -> connection.onConnected(future.isSuccess()));
         return handle;
     }
