Name what a caller's connection and the processing of its request tell each other

Cause: the connection of a caller knew only an Exchange of this gateway, so nothing else could answer a request. Change: ResponseWriter moves to a package of its own, with the interfaces ActiveRequest and CallerConnection that Exchange and CallerChannelHandler implement. No change of behaviour. Evidence: ExchangeTest, CallerChannelHandlerTest and LayeringTest pass.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ResponseWriter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/exchange/ResponseWriter.java
@@ -1,4 +1,4 @@
-package org.lovagethread.gateway.http;
+package org.lovagethread.gateway.exchange;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -6,7 +6,7 @@
 import org.lovagethread.core.error.ErrorKind;
 
 /** Sends the response to a caller's request. */
-interface ResponseWriter {
+public interface ResponseWriter {
     /**
      * Sends a complete response.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerChannelHandler.java
@@ -31,9 +31,11 @@
 import java.util.concurrent.TimeUnit;
 import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.ClientLimits;
+import org.lovagethread.gateway.exchange.ActiveRequest;
+import org.lovagethread.gateway.exchange.CallerConnection;
 
 /** Reads requests from a caller's connection and writes their responses, one request at a time. */
-final class CallerChannelHandler extends ChannelInboundHandlerAdapter implements ResponseWriter {
+final class CallerChannelHandler extends ChannelInboundHandlerAdapter implements CallerConnection {
     /** Maximum number of decoded objects of pipelined requests, queued until the current response is complete. */
     private static final int MAX_QUEUED_OBJECTS = 64;
 
@@ -48,7 +50,7 @@
     private Channel channel;
     private HttpRequest request;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
-    private Exchange exchange;
+    private ActiveRequest activeRequest;
     private ByteBuf unsentStreamData = Unpooled.EMPTY_BUFFER;
     private boolean responding;
     private boolean streaming;
@@ -74,9 +76,9 @@
         closing = true;
         queued.forEach(ReferenceCountUtil::release);
         queued.clear();
-        if (exchange != null) {
-            Exchange abandoned = exchange;
-            exchange = null;
+        if (activeRequest != null) {
+            ActiveRequest abandoned = activeRequest;
+            activeRequest = null;
             abandoned.onCallerDisconnected();
         }
         unsentStreamData.release();
@@ -102,8 +104,8 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        if (ctx.channel().isWritable() && exchange != null) {
-            exchange.onCallerWritable();
+        if (ctx.channel().isWritable() && activeRequest != null) {
+            activeRequest.onCallerWritable();
         }
     }
 
@@ -114,7 +116,7 @@
     }
 
     /**
-     * Applies the timeouts of the current exchange. Without one, closes the connection if it is idle or if a request
+     * Applies the timeouts of the current request. Without one, closes the connection if it is idle or if a request
      * arrives too slowly.
      *
      * @param nowMillis the current time in milliseconds
@@ -122,8 +124,8 @@
      */
     void tick(long nowMillis, long idleDeadlineMillis) {
         if (responding) {
-            if (exchange != null) {
-                Exchange current = exchange;
+            if (activeRequest != null) {
+                ActiveRequest current = activeRequest;
                 guard(() -> current.tick(nowMillis));
             }
             return;
@@ -145,8 +147,8 @@
      * @param nowMillis the current time in milliseconds
      */
     void shutDown(long nowMillis) {
-        if (exchange != null) {
-            exchange.onShutdown(nowMillis);
+        if (activeRequest != null) {
+            activeRequest.onShutdown(nowMillis);
         } else if (responding && !closing) {
             sendError(ErrorKind.STOPPING, 0);
         } else if (!responding) {
@@ -251,8 +253,8 @@
             action.run();
         } catch (RuntimeException e) {
             HttpRequest failed = request;
-            if (exchange != null) {
-                exchange.onInternalError(e);
+            if (activeRequest != null) {
+                activeRequest.onInternalError(e);
             } else if (responding && !closing) {
                 sendError(ErrorKind.OVERLOADED, 0);
             }
@@ -260,13 +262,9 @@
         }
     }
 
-    /**
-     * Sets the exchange that processes the current request.
-     *
-     * @param newExchange the exchange
-     */
-    void attach(Exchange newExchange) {
-        exchange = newExchange;
+    @Override
+    public void attach(ActiveRequest newRequest) {
+        activeRequest = newRequest;
     }
 
     private void refuseMalformed(Throwable cause) {
@@ -365,7 +363,7 @@
             flushStream();
         }
         closing = true;
-        exchange = null;
+        activeRequest = null;
         channel.close();
     }
 
@@ -401,7 +399,7 @@
     }
 
     private void processNextRequest(boolean close) {
-        exchange = null;
+        activeRequest = null;
         request = null;
         releaseBody();
         lastActiveMillis = server.nowMillis();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -11,6 +11,8 @@
 import org.lovagethread.gateway.config.Customer;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.ServiceSpec;
+import org.lovagethread.gateway.exchange.ActiveRequest;
+import org.lovagethread.gateway.exchange.ResponseWriter;
 import org.lovagethread.gateway.policy.AttemptOutcome;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptQuarantine;
@@ -22,7 +24,7 @@
  * <p>A request that an upstream may have executed is retried only if its route is retryable. An error that states that
  * the request was not executed is sent only if this is certain.
  */
-final class Exchange implements UpstreamClient.Listener {
+final class Exchange implements UpstreamClient.Listener, ActiveRequest {
     /** Maximum number of attempts for one request, including those that were certainly not executed. */
     private static final int MAX_ATTEMPTS = 3;
 
@@ -109,17 +111,15 @@
         }
     }
 
-    /** Ends the exchange because the caller closed its connection. */
-    void onCallerDisconnected() {
+    @Override
+    public void onCallerDisconnected() {
         if (!ended) {
             finish("caller-left", context.nowMillis());
         }
     }
 
-    /**
-     * Resumes reading from the upstream after the caller's connection has become writable.
-     */
-    void onCallerWritable() {
+    @Override
+    public void onCallerWritable() {
         if (readingPaused && attempt != null && attempt.handle != null) {
             readingPaused = false;
             attempt.recordBytes(context.nowMillis(), context.observedMillis());
@@ -127,12 +127,8 @@
         }
     }
 
-    /**
-     * Checks the deadline of the request and the inactivity timeout of the current attempt.
-     *
-     * @param nowMillis the current time in milliseconds
-     */
-    void tick(long nowMillis) {
+    @Override
+    public void tick(long nowMillis) {
         if (ended) {
             return;
         }
@@ -475,12 +471,8 @@
         }
     }
 
-    /**
-     * Ends the exchange after an exception. The request may have been executed.
-     *
-     * @param error the exception
-     */
-    void onInternalError(RuntimeException error) {
+    @Override
+    public void onInternalError(RuntimeException error) {
         if (ended) {
             return;
         }
@@ -507,12 +499,8 @@
         endUnfinished(ErrorKind.OVERLOADED, ErrorKind.DEADLINE_AFTER_SEND, nowMillis);
     }
 
-    /**
-     * Ends the exchange because the gateway is about to stop.
-     *
-     * @param nowMillis the current time in milliseconds
-     */
-    void onShutdown(long nowMillis) {
+    @Override
+    public void onShutdown(long nowMillis) {
         if (!ended) {
             record.recordReason("the gateway stops");
             endUnfinished(ErrorKind.STOPPING, ErrorKind.OUTCOME_UNKNOWN, nowMillis);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -27,6 +27,7 @@
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
+import org.lovagethread.gateway.exchange.ResponseWriter;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.Placement;
