--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/log/GatewayMetrics.java
@@ -86,6 +86,16 @@
             .help("Requests that took up a stream, by service, source of its version, and whether they were refused.")
             .labelNames("service", "source", "refused")
             .register(registry);
+    private final Counter relayedRequests = Counter.builder()
+            .name("lovagethread_relayed_requests_total")
+            .help("Requests of callers that were to be passed to a peer, by outcome.")
+            .labelNames("outcome")
+            .register(registry);
+    private final Counter refusedRelays = Counter.builder()
+            .name("lovagethread_relays_refused_total")
+            .help("Requests offered by peers that were refused, by reason.")
+            .labelNames("reason")
+            .register(registry);
     private final Gauge stateGauges = Gauge.builder()
             .name("lovagethread_state")
             .help("State of the gateway by name.")
@@ -214,6 +224,24 @@
         resumptions.labelValues(service, source, Boolean.toString(refused)).inc();
     }
 
+    /**
+     * Counts a request of a caller that was to be passed to a peer.
+     *
+     * @param outcome the label of its outcome
+     */
+    public void recordRelayedRequest(String outcome) {
+        relayedRequests.labelValues(outcome).inc();
+    }
+
+    /**
+     * Counts a request offered by a peer that was refused.
+     *
+     * @param reason the label of the reason
+     */
+    public void recordRefusedRelay(String reason) {
+        refusedRelays.labelValues(reason).inc();
+    }
+
     /**
      * Sets a gauge of the state of the gateway.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ClientBootstrapTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ClientBootstrapTest.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -69,4 +70,21 @@
                     .isLessThanOrEqualTo(ClientBootstrap.MAX_BYTES_PER_TURN);
         }
     }
+
+    // With keep-alive probes, a TCP_USER_TIMEOUT would decide when the system gives up a silent connection.
+    @Test
+    void leavesSilentConnectionsToTheTimeoutsOfTheGateway() throws Exception {
+        try (EndlessServer server = new EndlessServer("", "x")) {
+            Channel channel = ClientBootstrap.create(loop, TIMEOUT_MILLIS)
+                    .handler(new TurnRecorder())
+                    .connect(server.address())
+                    .sync()
+                    .channel();
+            assertThat(channel.config().getOption(ChannelOption.SO_KEEPALIVE)).isFalse();
+            assertThat(channel.config().getOptions().keySet())
+                    .extracting(ChannelOption::name)
+                    .noneMatch(name -> name.contains("TCP_USER_TIMEOUT"));
+            channel.close();
+        }
+    }
 }
