Let a peer with links run the requests of a gateway that has none

Callers saw 502, 503 and 504 at a gateway that had lost its links to all upstreams, although its peers had links. Cause: a gateway could only send a request to upstreams itself. Change: while it is isolated, a gateway passes each request as a whole to a peer before it charges anything; the peer admits it like one of its own callers', charges the quota and counts the usage once, with the time that is left. An exchange that could not connect to any upstream gives its charge back and is passed on too. A request of a peer is never passed on again. If no peer has links, the request is refused at once, as not run and with Retry-After. Requests of peers count as requests in progress, also when the gateway stops. What decides that a gateway is isolated is set from outside; by default it never is.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
@@ -36,9 +36,20 @@
 
     /** Returns the time within which the request must be answered, in milliseconds. */
     long timeoutMillis() {
+        return timeoutMillis(attributes, route);
+    }
+
+    /** Returns the time within which a request on a route must be answered, in milliseconds. */
+    static long timeoutMillis(RequestAttributes attributes, Route route) {
         return Math.min(attributes.callerTimeoutMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
     }
 
+    /** Returns the same request with less time, in milliseconds. */
+    AdmittedRequest withTimeout(long maxMillis) {
+        RequestAttributes limited = attributes.withCallerTimeout(Math.min(maxMillis, timeoutMillis()));
+        return new AdmittedRequest(request, body, limited, route, service, customer, targetMillis);
+    }
+
     /** Returns what the request needs from an engine. */
     Placement.Demand demand() {
         return service.engine().isPresent()
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CallerServer.java
@@ -12,6 +12,8 @@
 import org.lovagethread.core.error.ErrorKind;
 import org.lovagethread.gateway.config.ClientLimits;
 import org.lovagethread.gateway.config.GatewayConfiguration;
+import org.lovagethread.gateway.exchange.CallerConnection;
+import org.lovagethread.gateway.relay.RelayedRequest;
 
 /** Accepts connections from callers and starts an exchange for each admitted request. */
 public final class CallerServer {
@@ -19,12 +21,16 @@
 
     private final Gateway gateway;
     private final RequestRouter router;
+    private final RelayService relays;
+    private final ConnectionFailureReporter failures;
     private final Set<CallerChannelHandler> connections = new LinkedHashSet<>();
     private long drainStartMillis = Long.MAX_VALUE;
 
-    CallerServer(Gateway gateway, RequestRouter router) {
+    CallerServer(Gateway gateway, RequestRouter router, RelayService relays) {
         this.gateway = gateway;
         this.router = router;
+        this.relays = relays;
+        this.failures = new ConnectionFailureReporter(gateway.log(), gateway.metrics(), gateway.headerCodec());
     }
 
     /**
@@ -72,15 +78,18 @@
         for (CallerChannelHandler connection : new ArrayList<>(connections)) {
             connection.shutDown(nowMillis);
         }
+        relays.server().shutDown(nowMillis);
     }
 
     /**
-     * Returns the number of requests in progress.
+     * Returns the number of requests in progress, including those of peers.
      *
      * @return the number of requests
      */
     int activeRequests() {
-        return (int) connections.stream().filter(CallerChannelHandler::isBusy).count();
+        int ofCallers =
+                (int) connections.stream().filter(CallerChannelHandler::isBusy).count();
+        return ofCallers + relays.server().activeRequests();
     }
 
     /**
@@ -93,6 +102,7 @@
         for (CallerChannelHandler connection : new ArrayList<>(connections)) {
             connection.tick(nowMillis, idleDeadlineMillis);
         }
+        relays.server().tick(nowMillis);
     }
 
     void onOpened(CallerChannelHandler connection) {
@@ -110,10 +120,7 @@
      * @param request the header of the request in progress, or null if there is none
      */
     void recordConnectionFailure(Throwable cause, HttpRequest request) {
-        gateway.metrics().recordConnectionFailure(cause.getClass().getSimpleName());
-        if (request != null) {
-            gateway.logConnectionFailure(cause, request);
-        }
+        failures.report(cause, request, gateway.nowMillis());
     }
 
     void recordClosedConnection(CloseReason reason) {
@@ -129,30 +136,77 @@
         return gateway.isLagging();
     }
 
-    void onRequest(CallerChannelHandler connection, HttpRequest request, ByteBuf body) {
+    /**
+     * Processes a request of a caller: passes it to a peer as a whole while this gateway is isolated, otherwise runs it.
+     *
+     * @param connection the connection of the caller
+     * @param request the request header
+     * @param body the complete request body
+     */
+    void onRequest(CallerConnection connection, HttpRequest request, ByteBuf body) {
+        Optional<RequestRouter.RouteTimeout> timeout =
+                relays.isIsolated() ? router.timeout(gateway.configuration(), request) : Optional.empty();
+        if (timeout.isPresent()) {
+            relay(connection, request, body, timeout.get());
+        } else {
+            admit(connection, request, body)
+                    .ifPresent(admitted -> start(connection, admitted, relays.fallback(connection, admitted)));
+        }
+    }
+
+    /**
+     * Runs a request of an isolated peer, which is not passed on again.
+     *
+     * @param connection the connection of the peer
+     * @param request the request header
+     * @param body the complete request body
+     * @param deadlineMillis the time at which the response must be complete, in milliseconds
+     */
+    void runForPeer(CallerConnection connection, HttpRequest request, ByteBuf body, long deadlineMillis) {
+        admit(connection, request, body)
+                .map(admitted -> admitted.withTimeout(deadlineMillis - gateway.nowMillis()))
+                .ifPresent(admitted -> start(connection, admitted, RelayFallback.NONE));
+    }
+
+    private void relay(
+            CallerConnection connection, HttpRequest request, ByteBuf body, RequestRouter.RouteTimeout timeout) {
+        long now = gateway.nowMillis();
+        if (gateway.accepts(timeout.route(), timeout.millis(), now)) {
+            String id = gateway.headerCodec().readAttributes(request).requestId();
+            relays.relay(connection, new RelayedRequest(id, request, body, now + timeout.millis()));
+        } else {
+            refuse(connection, request, STOPPING);
+        }
+    }
+
+    /** Admits a request and charges the quota of its customer, or refuses it. */
+    private Optional<AdmittedRequest> admit(CallerConnection connection, HttpRequest request, ByteBuf body) {
         long now = gateway.nowMillis();
-        Optional<GatewayConfiguration> configuration = gateway.configuration();
         Either<Refusal, AdmittedRequest> decision =
-                router.route(configuration, request, body, gateway.unreachableShare(), now);
+                router.route(gateway.configuration(), request, body, gateway.unreachableShare(), now);
         if (decision.isLeft()) {
-            Refusal refusal = decision.getLeft();
-            gateway.recordRefusal(
-                    request,
-                    refusal,
-                    configuration.map(GatewayConfiguration::version).orElse(-1L));
-            connection.sendError(refusal.kind(), refusal.retryAfterMillis());
-            return;
+            refuse(connection, request, decision.getLeft());
+            return Optional.empty();
         }
-        if (!gateway.accepts(decision.get(), now)) {
-            gateway.refundQuota(decision.get());
-            gateway.recordRefusal(
-                    request,
-                    STOPPING,
-                    configuration.map(GatewayConfiguration::version).orElse(-1L));
-            connection.sendError(STOPPING.kind(), STOPPING.retryAfterMillis());
-            return;
+        AdmittedRequest admitted = decision.get();
+        if (!gateway.accepts(admitted.route(), admitted.timeoutMillis(), now)) {
+            gateway.refundQuota(admitted);
+            refuse(connection, request, STOPPING);
+            return Optional.empty();
         }
-        Exchange exchange = new Exchange(gateway, connection, decision.get(), now);
+        return Optional.of(admitted);
+    }
+
+    private void refuse(CallerConnection connection, HttpRequest request, Refusal refusal) {
+        gateway.recordRefusal(
+                request,
+                refusal,
+                gateway.configuration().map(GatewayConfiguration::version).orElse(-1L));
+        connection.sendError(refusal.kind(), refusal.retryAfterMillis());
+    }
+
+    private void start(CallerConnection connection, AdmittedRequest admitted, RelayFallback fallback) {
+        Exchange exchange = new Exchange(gateway, connection, admitted, fallback, gateway.nowMillis());
         connection.attach(exchange);
         exchange.start();
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -41,6 +41,7 @@
     private final Optional<Customer> customer;
     private final ServiceSpec service;
     private final Placement.Demand demand;
+    private final RelayFallback fallback;
     private final long startedMillis;
     private final long deadlineMillis;
     private final Set<String> triedUpstreams = new HashSet<>();
@@ -52,6 +53,7 @@
 
     private Attempt attempt;
     private int attempts;
+    private int failedConnects;
     private int possibleRuns;
     private boolean ended;
     private boolean usageRecorded;
@@ -60,7 +62,12 @@
 
     private record BufferedResponse(HttpResponse response, ByteBuf body) {}
 
-    Exchange(ExchangeContext context, ResponseWriter caller, AdmittedRequest admitted, long nowMillis) {
+    Exchange(
+            ExchangeContext context,
+            ResponseWriter caller,
+            AdmittedRequest admitted,
+            RelayFallback fallback,
+            long nowMillis) {
         this.context = context;
         this.responses = new ResponseClassifier(context.headerCodec());
         this.caller = caller;
@@ -70,6 +77,7 @@
         this.route = admitted.route();
         this.customer = admitted.customer();
         this.service = admitted.service();
+        this.fallback = fallback;
         this.startedMillis = nowMillis;
         this.deadlineMillis = nowMillis + admitted.timeoutMillis();
         this.position = new StreamPosition(attributes.lastEventId());
@@ -250,6 +258,7 @@
     public void onNotSent() {
         if (attempt != null) {
             long now = context.nowMillis();
+            failedConnects++;
             recorder.recordUnreachable(attempt, now);
             onAttemptFailed(AttemptOutcome.NOT_SENT, "no connection to the upstream", now);
         }
@@ -463,6 +472,10 @@
             finish("upstream-failure", nowMillis);
         } else if (possibleRuns > 0) {
             refuse(outcome.mayHaveRun() ? outcome.errorKind() : ErrorKind.UPSTREAM_FAILED, 0, nowMillis);
+        } else if (outcome == AttemptOutcome.NOT_SENT
+                && fallback.tryRelay(attempts > 0 && failedConnects == attempts, deadlineMillis)) {
+            refundQuota();
+            finish("relayed", nowMillis);
         } else {
             refuse(
                     selector.errorKind(outcome),
@@ -519,12 +532,16 @@
 
     private void refuse(ErrorKind kind, long retryAfterMillis, long nowMillis) {
         if (possibleRuns == 0 && attempt == null) {
-            customer.ifPresent(owner -> context.quota().refund(owner.name(), context.quotaTokens(attributes, owner)));
+            refundQuota();
         }
         caller.sendError(kind, retryAfterMillis);
         finish(kind.label(), nowMillis);
     }
 
+    private void refundQuota() {
+        customer.ifPresent(owner -> context.quota().refund(owner.name(), context.quotaTokens(attributes, owner)));
+    }
+
     private void finish(String outcome, long nowMillis) {
         ended = true;
         suspension.end();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -23,6 +24,7 @@
 import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.config.GatewayConfiguration;
+import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.duty.DutyLease;
 import org.lovagethread.gateway.duty.FleetManager;
 import org.lovagethread.gateway.duty.LeaseLog;
@@ -35,6 +37,7 @@
 import org.lovagethread.gateway.peer.ClusterClock;
 import org.lovagethread.gateway.peer.PeerTable;
 import org.lovagethread.gateway.policy.AddressPolicy;
+import org.lovagethread.gateway.policy.AddressPolicy.GatewayAddress;
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.LagDetector;
 import org.lovagethread.gateway.policy.Placement;
@@ -76,7 +79,6 @@
     private final TokenQuota quota;
     private final ClusterClock clock = new ClusterClock();
     private final LogRateLimiter successLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
-    private final LogRateLimiter failureLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
     private final ResponseMemory responseMemory =
             new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFERED_RESPONSES);
     private final RefusalReporter refusals;
@@ -99,6 +101,7 @@
     private final PromptEvidenceStore promptEvidence;
     private final FleetManager fleetManager;
     private final NettyUpstreamClient upstreamClient;
+    private final RelayService relays;
     private final CallerServer callerServer;
     private final PeerExchange peerExchange;
     private final Shutdown shutdown;
@@ -180,7 +183,8 @@
                 this::onLeavingNotice);
         store.onRestore(() -> loop.execute(sync::onRestore));
         store.onRestore(promptEvidence::onRestore);
-        this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
+        this.relays = new RelayService(this, loop, zones);
+        this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random), relays);
         this.peerExchange = new PeerExchange(this, httpClient);
         this.shutdown = new Shutdown(this, bounds);
         this.rollouts = new RolloutService(this, zones, this::clusterMillis);
@@ -197,7 +201,7 @@
         listen(settings.readinessAddress(), channel -> SimpleHttpServer.accept(channel, this::discoveryResponse));
         listen(settings.directoryAddress(), channel -> SimpleHttpServer.accept(channel, this::discoveryResponse));
         listen(settings.metricsAddress(), channel -> SimpleHttpServer.accept(channel, request -> metricsResponse()));
-        listen(peerAddress(), channel -> SimpleHttpServer.accept(channel, this::peerResponse));
+        listen(peerAddress(), new PeerPort(sync, relays.server())::accept);
         peerExchange.open(loop);
         log.add(log.line("started")
                 .put("incarnation", incarnation)
@@ -243,8 +247,8 @@
     }
 
     /** Returns whether this gateway may still process a request, which it may not if it is about to stop. */
-    boolean accepts(AdmittedRequest request, long nowMillis) {
-        return shutdown.accepts(request, nowMillis);
+    boolean accepts(Route route, long timeoutMillis, long nowMillis) {
+        return shutdown.accepts(route, timeoutMillis, nowMillis);
     }
 
     /** Closes the port for callers. Connections that are open stay open. */
@@ -343,6 +347,7 @@
         metrics.setState("ready", isReady() ? 1 : 0);
         metrics.setState(
                 "quarantined_prompt_parts", promptQuarantine.quarantinedParts().size());
+        metrics.setState("relayed_requests_in_progress", relays.server().activeRequests());
         metrics.setState("requests_in_progress", callerServer.activeRequests());
         metrics.setState("store_era", store.era());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
@@ -358,25 +363,6 @@
         refusals.report(request, refusal, version, nowMillis());
     }
 
-    /** Logs an exception that ended a caller's connection while a request was in progress. */
-    void logConnectionFailure(Throwable cause, HttpRequest request) {
-        if (failureLines.tryAcquire(nowMillis())) {
-            log.add(log.line("connection-failed")
-                    .put("omitted_before", failureLines.resetOmitted())
-                    .put("request", requestIdOrEmpty(request))
-                    .put("reason", cause.toString()));
-        }
-    }
-
-    /** Returns the id of a request; empty if reading it fails, which may be what is logged. */
-    private String requestIdOrEmpty(HttpRequest request) {
-        try {
-            return ports.headerCodec().readAttributes(request).requestId();
-        } catch (RuntimeException e) {
-            return "";
-        }
-    }
-
     @Override
     public void onExchangeEnded(Exchange exchange, ExchangeRecord record) {
         AdmittedRequest admitted = record.admitted();
@@ -442,6 +428,14 @@
         return callerServer;
     }
 
+    RelayService relays() {
+        return relays;
+    }
+
+    List<GatewayAddress> readyGatewaysInOtherCells() {
+        return peerExchange.readyGatewaysInOtherCells(nowMillis());
+    }
+
     EraStore store() {
         return store;
     }
@@ -479,17 +473,6 @@
         return new InetSocketAddress(settings.metricsAddress().getAddress(), settings.peerPort());
     }
 
-    private SimpleHttpServer.Response peerResponse(FullHttpRequest request) {
-        ByteString body =
-                switch (request.uri()) {
-                    case PeerExchange.CONFIGURATION_URI -> sync.compressedConfiguration()
-                            .orElse(ByteString.EMPTY);
-                    case PeerExchange.UPSTREAMS_URI -> sync.compressedUpstreams();
-                    default -> ByteString.EMPTY;
-                };
-        return new SimpleHttpServer.Response(HttpResponseStatus.OK, "application/octet-stream", body);
-    }
-
     @Override
     public void schedule(long delayMillis, Runnable action) {
         loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -34,12 +34,6 @@
 
 /** Sends the state of this gateway to its peers and applies the states received from them. */
 final class PeerExchange {
-    /** Path under which a gateway serves its configuration to peers. */
-    static final String CONFIGURATION_URI = "/configuration";
-
-    /** Path under which a gateway serves its upstreams to peers. */
-    static final String UPSTREAMS_URI = "/upstreams";
-
     /** Interval between two state messages while each gateway sends to all others, in milliseconds. */
     private static final long SEND_INTERVAL_MILLIS = 140;
 
@@ -176,6 +170,11 @@
         return addresses;
     }
 
+    /** Returns the addresses of the gateways of other cells that accept requests. */
+    List<GatewayAddress> readyGatewaysInOtherCells(long nowMillis) {
+        return cellExchange.readyGateways(nowMillis);
+    }
+
     /**
      * Returns whether this gateway should hold the duty lease: no eligible live peer holds it or was started
      * earlier.
@@ -217,6 +216,7 @@
                 .setLeader(gateway.lease().isHeld())
                 .setCapacity(gateway.settings().capacity())
                 .setKnownGateways(gateway.peers().knownGateways())
+                .setLinks(gateway.relays().linkState())
                 .addAllLeavingUpstreams(LeavingMarkCodec.texts(leavingMarks))
                 .addAllLeavingRemainingMillis(LeavingMarkCodec.lifetimes(leavingMarks));
         gateway.lease().resignedTerm().ifPresent(state::setResignedTerm);
@@ -341,12 +341,12 @@
         }
         nextFetchMillis = nowMillis + FETCH_INTERVAL_MILLIS;
         if (configurationLags) {
-            fetch(host, CONFIGURATION_URI, bytes -> sync.offerConfiguration(bytes, host));
+            fetch(host, PeerPort.CONFIGURATION_URI, bytes -> sync.offerConfiguration(bytes, host));
             sync.onNewerPeerConfiguration();
         }
         boolean storeOutage = !sync.isWatching() || sync.storeHealth().outageMillis(nowMillis) > STORE_OUTAGE_MILLIS;
         if (upstreamsLag && (storeOutage || sync.upstreamsRevision() < 0)) {
-            fetch(host, UPSTREAMS_URI, bytes -> sync.offerUpstreams(bytes, host));
+            fetch(host, PeerPort.UPSTREAMS_URI, bytes -> sync.offerUpstreams(bytes, host));
         } else if (upstreamsLag) {
             sync.onPeerRevision(peerRevision);
         }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestAttributes.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestAttributes.java
@@ -25,4 +25,23 @@
         int maxOutputTokens,
         PromptPrefix prefix,
         OptionalLong lastEventId,
-        Optional<String> resumedRequestId) {}
+        Optional<String> resumedRequestId) {
+
+    /**
+     * Returns the same attributes with another time for which the caller waits.
+     *
+     * @param millis the time in milliseconds
+     * @return the attributes
+     */
+    RequestAttributes withCallerTimeout(long millis) {
+        return new RequestAttributes(
+                requestId,
+                apiKey,
+                OptionalLong.of(millis),
+                promptTokens,
+                maxOutputTokens,
+                prefix,
+                lastEventId,
+                resumedRequestId);
+    }
+}
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestRouter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/RequestRouter.java
@@ -52,11 +52,10 @@
             return Either.left(new Refusal(ErrorKind.NOT_READY, UNCONFIGURED_RETRY_MILLIS));
         }
         GatewayConfiguration current = configuration.get();
-        String host = request.headers().get(HttpHeaderNames.HOST);
-        if (host == null || request.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
+        if (!hasOneHost(request)) {
             return Either.left(new Refusal(ErrorKind.BAD_REQUEST, 0));
         }
-        Optional<Route> route = current.routes().find(host, pathOf(request.uri()));
+        Optional<Route> route = findRoute(current, request);
         if (route.isEmpty()) {
             return Either.left(new Refusal(ErrorKind.UNKNOWN_ROUTE, 0));
         }
@@ -80,6 +79,37 @@
                 new AdmittedRequest(request, body, attributes, route.get(), service, customer, targetMillis));
     }
 
+    /**
+     * Returns the time within which a request must be answered, without charging a quota.
+     *
+     * @param configuration the active configuration; empty until the first one has been received
+     * @param request the request header
+     * @return the route and the time; empty if the request is refused by {@link #route}
+     */
+    Optional<RouteTimeout> timeout(Optional<GatewayConfiguration> configuration, HttpRequest request) {
+        return configuration
+                .filter(current -> hasOneHost(request))
+                .flatMap(current -> findRoute(current, request))
+                .map(route -> new RouteTimeout(
+                        route, AdmittedRequest.timeoutMillis(headerCodec.readAttributes(request), route)));
+    }
+
+    /**
+     * The time within which a request must be answered.
+     *
+     * @param route the route of the request
+     * @param millis the time in milliseconds
+     */
+    record RouteTimeout(Route route, long millis) {}
+
+    private static boolean hasOneHost(HttpRequest request) {
+        return request.headers().getAll(HttpHeaderNames.HOST).size() == 1;
+    }
+
+    private static Optional<Route> findRoute(GatewayConfiguration configuration, HttpRequest request) {
+        return configuration.routes().find(request.headers().get(HttpHeaderNames.HOST), pathOf(request.uri()));
+    }
+
     /**
      * Returns the number of tokens charged for a request.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Shutdown.java
@@ -1,6 +1,7 @@
 package org.lovagethread.gateway.http;
 
 import org.lovagethread.gateway.GatewaySettings;
+import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.store.ObjectKind;
 
 /** Shuts a gateway down gracefully: waits until callers use other gateways and all requests have ended. */
@@ -65,21 +66,20 @@
      * gateways, a request that must not be repeated is accepted only if it can use all its time: one that an upstream
      * may be executing when the process stops could not be answered truly.
      *
-     * @param request the request
+     * @param route the route of the request
+     * @param timeoutMillis the time within which the request must be answered, in milliseconds
      * @param nowMillis the current time in milliseconds
      * @return true unless the gateway is stopping and the request would have to be refused or ended soon
      */
-    boolean accepts(AdmittedRequest request, long nowMillis) {
+    boolean accepts(Route route, long timeoutMillis, long nowMillis) {
         if (startMillis < 0) {
             return true;
         }
         long elapsedMillis = nowMillis - startMillis;
-        if (requestsEnded || (request.route().isStreaming() && elapsedMillis > STREAM_ACCEPT_MILLIS)) {
+        if (requestsEnded || (route.isStreaming() && elapsedMillis > STREAM_ACCEPT_MILLIS)) {
             return false;
         }
-        return request.route().isRetryable()
-                || !hasDrained(nowMillis)
-                || elapsedMillis + request.timeoutMillis() <= lastRequestMillis();
+        return route.isRetryable() || !hasDrained(nowMillis) || elapsedMillis + timeoutMillis <= lastRequestMillis();
     }
 
     private boolean hasDrained(long nowMillis) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -68,6 +68,8 @@
     PromptPrefix prefix = PromptPrefix.NONE;
     final FakeStore store = new FakeStore();
     boolean storeOutage;
+    RelayFallback fallback = RelayFallback.NONE;
+    Optional<String> apiKey = Optional.empty();
     final StreamVersions versions = new StreamVersions();
     OptionalLong lastEventId = OptionalLong.empty();
     Optional<String> resumedRequestId = Optional.empty();
@@ -152,7 +154,7 @@
                 service,
                 Optional.empty(),
                 OptionalLong.empty());
-        Exchange exchange = new Exchange(this, this, admitted, currentMillis);
+        Exchange exchange = new Exchange(this, this, admitted, fallback, currentMillis);
         exchange.start();
         return exchange;
     }
@@ -179,7 +181,7 @@
     public RequestAttributes readAttributes(HttpRequest request) {
         return new RequestAttributes(
                 request.headers().get("X-Request-Id", "id"),
-                Optional.empty(),
+                apiKey,
                 OptionalLong.of(2_500),
                 OptionalInt.empty(),
                 0,
