--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/relay/Relay.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/relay/Relay.java
@@ -22,7 +22,7 @@
     private static final int MAX_PEERS = 2;
 
     /** Time for the way back of an error that the peer generates at the deadline, in milliseconds. */
-    private static final long RETURN_MILLIS = 30;
+    static final long RETURN_MILLIS = 30;
 
     /** Time after which a caller should retry if no peer can run its request, in milliseconds. */
     private static final long RETRY_AFTER_MILLIS = 300;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/relay/RelayFailureTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/relay/RelayFailureTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -48,6 +49,20 @@
             }
         }
 
+        @Test
+        void leadToAnotherPeerIfThisOneKnowsNoRelayConnections() throws Exception {
+            addDistantServer();
+            target.script = run -> run.caller.sendResponse(HttpResponseStatus.OK, sealed(), bytes("answer"));
+            byte[] refusal = "HTTP/1.1 400 Bad Request\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+            try (ScriptedPeer peer = addScriptedPeer(
+                    (frame, connection) -> connection.socket().getOutputStream().write(refusal))) {
+                FakeCaller caller = relay();
+                await(() -> caller.ended);
+                assertThat(caller.response()).isEqualTo("200 OK answer");
+                assertThat(peer.received).noneMatch(RelayFrame::hasRequest);
+            }
+        }
+
         private void assertUnknownOutcome(ScriptedPeer.Script script) throws Exception {
             addDistantServer();
             try (ScriptedPeer peer = addScriptedPeer(script)) {
