--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -13,6 +13,8 @@
 import org.lovagethread.gateway.config.Customer;
 import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.config.ServiceSpec;
+import org.lovagethread.gateway.exchange.ActiveRequest;
+import org.lovagethread.gateway.exchange.ResponseWriter;
 import org.lovagethread.gateway.policy.AttemptOutcome;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.policy.PromptQuarantine;
@@ -25,7 +27,7 @@
  * <p>A request that an upstream may have executed is retried only if its route is retryable. An error that states that
  * the request was not executed is sent only if this is certain.
  */
-final class Exchange implements UpstreamClient.Listener {
+final class Exchange implements UpstreamClient.Listener, ActiveRequest {
     /** Maximum number of attempts for one request, including those that were certainly not executed. */
     private static final int MAX_ATTEMPTS = 3;
 
@@ -42,6 +44,7 @@
     private final Optional<Customer> customer;
     private final ServiceSpec service;
     private final Placement.Demand demand;
+    private final RelayFallback fallback;
     private final long startedMillis;
     private final long deadlineMillis;
     private final Set<String> triedUpstreams = new HashSet<>();
@@ -53,6 +56,7 @@
 
     private Attempt attempt;
     private int attempts;
+    private int failedConnects;
     private int possibleRuns;
     private boolean ended;
     private boolean usageRecorded;
@@ -61,7 +65,12 @@
 
     private record BufferedResponse(HttpResponse response, ByteBuf body) {}
 
-    Exchange(ExchangeContext context, ResponseWriter caller, AdmittedRequest admitted, long nowMillis) {
+    Exchange(
+            ExchangeContext context,
+            ResponseWriter caller,
+            AdmittedRequest admitted,
+            RelayFallback fallback,
+            long nowMillis) {
         this.context = context;
         this.responses = new ResponseClassifier(context.headerCodec());
         this.caller = caller;
@@ -71,6 +80,7 @@
         this.route = admitted.route();
         this.customer = admitted.customer();
         this.service = admitted.service();
+        this.fallback = fallback;
         this.startedMillis = nowMillis;
         this.deadlineMillis = nowMillis + admitted.timeoutMillis();
         this.position = new StreamPosition(admitted.isResumption() ? attributes.lastEventId() : OptionalLong.empty());
@@ -112,17 +122,15 @@
         }
     }
 
-    /** Ends the exchange because the caller closed its connection. */
-    void onCallerDisconnected() {
+    @Override
+    public void onCallerDisconnected() {
         if (!ended) {
             finish("caller-left", context.nowMillis());
         }
     }
 
-    /**
-     * Resumes reading from the upstream after the caller's connection has become writable.
-     */
-    void onCallerWritable() {
+    @Override
+    public void onCallerWritable() {
         if (readingPaused && attempt != null && attempt.handle != null) {
             readingPaused = false;
             attempt.recordBytes(context.nowMillis(), context.observedMillis());
@@ -130,12 +138,8 @@
         }
     }
 
-    /**
-     * Checks the deadline of the request and the inactivity timeout of the current attempt.
-     *
-     * @param nowMillis the current time in milliseconds
-     */
-    void tick(long nowMillis) {
+    @Override
+    public void tick(long nowMillis) {
         if (ended) {
             return;
         }
@@ -261,6 +265,7 @@
     public void onNotSent() {
         if (attempt != null) {
             long now = context.nowMillis();
+            failedConnects++;
             recorder.recordUnreachable(attempt, now);
             onAttemptFailed(AttemptOutcome.NOT_SENT, "no connection to the upstream", now);
         }
@@ -474,6 +479,10 @@
             finish("upstream-failure", nowMillis);
         } else if (possibleRuns > 0) {
             refuse(outcome.mayHaveRun() ? outcome.errorKind() : ErrorKind.UPSTREAM_FAILED, 0, nowMillis);
+        } else if (outcome == AttemptOutcome.NOT_SENT
+                && fallback.tryRelay(attempts > 0 && failedConnects == attempts, deadlineMillis)) {
+            refundQuota();
+            finish("relayed", nowMillis);
         } else {
             refuse(
                     selector.errorKind(outcome),
@@ -482,12 +491,8 @@
         }
     }
 
-    /**
-     * Ends the exchange after an exception. The request may have been executed.
-     *
-     * @param error the exception
-     */
-    void onInternalError(RuntimeException error) {
+    @Override
+    public void onInternalError(RuntimeException error) {
         if (ended) {
             return;
         }
@@ -514,12 +519,8 @@
         endUnfinished(ErrorKind.OVERLOADED, ErrorKind.DEADLINE_AFTER_SEND, nowMillis);
     }
 
-    /**
-     * Ends the exchange because the gateway is about to stop.
-     *
-     * @param nowMillis the current time in milliseconds
-     */
-    void onShutdown(long nowMillis) {
+    @Override
+    public void onShutdown(long nowMillis) {
         if (!ended) {
             record.recordReason("the gateway stops");
             endUnfinished(ErrorKind.STOPPING, ErrorKind.OUTCOME_UNKNOWN, nowMillis);
@@ -538,12 +539,16 @@
 
     private void refuse(ErrorKind kind, long retryAfterMillis, long nowMillis) {
         if (possibleRuns == 0 && attempt == null) {
-            customer.ifPresent(owner -> context.quota().refund(owner.name(), context.quotaTokens(attributes, owner)));
+            refundQuota();
         }
         caller.sendError(kind, retryAfterMillis);
         finish(kind.label(), nowMillis);
     }
 
+    private void refundQuota() {
+        customer.ifPresent(owner -> context.quota().refund(owner.name(), context.quotaTokens(attributes, owner)));
+    }
+
     private void finish(String outcome, long nowMillis) {
         ended = true;
         suspension.end();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -9,7 +9,6 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -24,6 +23,7 @@
 import org.lovagethread.gateway.CrossZoneSettings;
 import org.lovagethread.gateway.GatewaySettings;
 import org.lovagethread.gateway.config.GatewayConfiguration;
+import org.lovagethread.gateway.config.Route;
 import org.lovagethread.gateway.duty.DutyLease;
 import org.lovagethread.gateway.duty.FleetManager;
 import org.lovagethread.gateway.duty.LeaseLog;
@@ -79,7 +79,6 @@
     private final TokenQuota quota;
     private final ClusterClock clock = new ClusterClock();
     private final LogRateLimiter successLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
-    private final LogRateLimiter failureLines = new LogRateLimiter(MAX_LINES_PER_SECOND);
     private final ResponseMemory responseMemory =
             new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFERED_RESPONSES);
     private final RefusalReporter refusals;
@@ -103,6 +102,7 @@
     private final PromptEvidenceStore promptEvidence;
     private final FleetManager fleetManager;
     private final NettyUpstreamClient upstreamClient;
+    private final RelayService relays;
     private final CallerServer callerServer;
     private final PeerExchange peerExchange;
     private final Shutdown shutdown;
@@ -185,7 +185,9 @@
                 links.reporter());
         store.onRestore(() -> loop.execute(sync::onRestore));
         store.onRestore(promptEvidence::onRestore);
-        this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
+        this.relays = new RelayService(this, loop, zones);
+        relays.followIsolation(links::isIsolated);
+        this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random), relays);
         this.peerExchange = new PeerExchange(this, httpClient);
         this.shutdown = new Shutdown(this, bounds);
         this.rollouts = new RolloutService(this, zones, this::clusterMillis);
@@ -202,7 +204,7 @@
         listen(settings.readinessAddress(), channel -> SimpleHttpServer.accept(channel, discovery::respond));
         listen(settings.directoryAddress(), channel -> SimpleHttpServer.accept(channel, discovery::respond));
         listen(settings.metricsAddress(), channel -> SimpleHttpServer.accept(channel, request -> metricsResponse()));
-        listen(peerAddress(), channel -> SimpleHttpServer.accept(channel, peerExchange::response));
+        listen(peerAddress(), new PeerPort(sync, relays.server())::accept);
         peerExchange.open(loop);
         log.add(log.line("started")
                 .put("incarnation", incarnation)
@@ -248,8 +250,8 @@
     }
 
     /** Returns whether this gateway may still process a request, which it may not if it is about to stop. */
-    boolean accepts(AdmittedRequest request, long nowMillis) {
-        return shutdown.accepts(request, nowMillis);
+    boolean accepts(Route route, long timeoutMillis, long nowMillis) {
+        return shutdown.accepts(route, timeoutMillis, nowMillis);
     }
 
     /** Closes the port for callers. Connections that are open stay open. */
@@ -324,6 +326,7 @@
         metrics.setState("ready", isReady() ? 1 : 0);
         metrics.setState(
                 "quarantined_prompt_parts", promptQuarantine.quarantinedParts().size());
+        metrics.setState("relayed_requests_in_progress", relays.server().activeRequests());
         metrics.setState("requests_in_progress", callerServer.activeRequests());
         metrics.setState("store_era", store.era());
         metrics.setState("store_reachable", sync.storeHealth().isReachable() ? 1 : 0);
@@ -340,25 +343,6 @@
         refusals.report(request, refusal, version, nowMillis());
     }
 
-    /** Logs an exception that ended a caller's connection while a request was in progress. */
-    void logConnectionFailure(Throwable cause, HttpRequest request) {
-        if (failureLines.tryAcquire(nowMillis())) {
-            log.add(log.line("connection-failed")
-                    .put("omitted_before", failureLines.resetOmitted())
-                    .put("request", requestIdOrEmpty(request))
-                    .put("reason", cause.toString()));
-        }
-    }
-
-    /** Returns the id of a request; empty if reading it fails, which may be what is logged. */
-    private String requestIdOrEmpty(HttpRequest request) {
-        try {
-            return ports.headerCodec().readAttributes(request).requestId();
-        } catch (RuntimeException e) {
-            return "";
-        }
-    }
-
     @Override
     public void onExchangeEnded(Exchange exchange, ExchangeRecord record) {
         AdmittedRequest admitted = record.admitted();
@@ -428,6 +412,14 @@
         return callerServer;
     }
 
+    RelayService relays() {
+        return relays;
+    }
+
+    List<GatewayAddress> readyGatewaysInOtherCells() {
+        return peerExchange.readyGatewaysInOtherCells(nowMillis());
+    }
+
     EraStore store() {
         return store;
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/LinkService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/LinkService.java
@@ -72,7 +72,8 @@
 
     /** Adds what this gateway knows about its links to its state. */
     void addTo(GatewayState.Builder state, long nowMillis) {
-        state.setLinks(LinkStateCodec.encode(monitor.statement(nowMillis)));
+        state.setLinks(LinkStateCodec.encode(monitor.statement(nowMillis)).toBuilder()
+                .setRelayedRequests(gateway.relays().server().activeRequests()));
     }
 
     /** Applies the state of a peer. */
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -2,7 +2,6 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
@@ -35,12 +34,6 @@
 
 /** Sends the state of this gateway to its peers and applies the states received from them. */
 final class PeerExchange {
-    /** Path under which a gateway serves its configuration to peers. */
-    private static final String CONFIGURATION_URI = "/configuration";
-
-    /** Path under which a gateway serves its upstreams to peers. */
-    private static final String UPSTREAMS_URI = "/upstreams";
-
     /** Interval between two state messages while each gateway sends to all others, in milliseconds. */
     private static final long SEND_INTERVAL_MILLIS = 140;
 
@@ -73,8 +66,6 @@
 
     private static final long FETCH_TIMEOUT_MILLIS = 2_000;
 
-    private static final String CONTENT_TYPE = "application/octet-stream";
-
     private final Gateway gateway;
     private final PooledHttpClient httpClient;
     private final CellExchange cellExchange;
@@ -157,19 +148,6 @@
                 maintainsRegistry, gateway.peers().livePeers(nowMillis).isEmpty(), nowMillis);
     }
 
-    /** Responds to a request of a peer for the configuration or the upstreams. */
-    SimpleHttpServer.Response response(FullHttpRequest request) {
-        ByteString body =
-                switch (request.uri()) {
-                    case CONFIGURATION_URI -> gateway.sync()
-                            .compressedConfiguration()
-                            .orElse(ByteString.EMPTY);
-                    case UPSTREAMS_URI -> gateway.sync().compressedUpstreams();
-                    default -> ByteString.EMPTY;
-                };
-        return new SimpleHttpServer.Response(HttpResponseStatus.OK, CONTENT_TYPE, body);
-    }
-
     void send(GatewayDatagram datagram, Set<String> hosts) {
         peerChannel.send(datagram, hosts);
     }
@@ -201,6 +179,11 @@
         return connected.isEmpty() ? isolated : connected;
     }
 
+    /** Returns the addresses of the gateways of other cells that accept requests. */
+    List<GatewayAddress> readyGatewaysInOtherCells(long nowMillis) {
+        return cellExchange.readyGateways(nowMillis);
+    }
+
     /**
      * Returns whether this gateway should hold the duty lease: no eligible live peer holds it or was started
      * earlier.
@@ -381,12 +364,12 @@
         }
         nextFetchMillis = nowMillis + FETCH_INTERVAL_MILLIS;
         if (configurationLags) {
-            fetch(host, CONFIGURATION_URI, bytes -> sync.offerConfiguration(bytes, host));
+            fetch(host, PeerPort.CONFIGURATION_URI, bytes -> sync.offerConfiguration(bytes, host));
             sync.onNewerPeerConfiguration();
         }
         boolean storeOutage = !sync.isWatching() || sync.storeHealth().outageMillis(nowMillis) > STORE_OUTAGE_MILLIS;
         if (upstreamsLag && (storeOutage || sync.upstreamsRevision() < 0)) {
-            fetch(host, UPSTREAMS_URI, bytes -> sync.offerUpstreams(bytes, host));
+            fetch(host, PeerPort.UPSTREAMS_URI, bytes -> sync.offerUpstreams(bytes, host));
         } else if (upstreamsLag) {
             sync.onPeerRevision(peerRevision);
         }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -27,6 +27,7 @@
 import org.lovagethread.gateway.config.ServiceSpec;
 import org.lovagethread.gateway.duty.UsageLedger;
 import org.lovagethread.gateway.engine.EngineModels;
+import org.lovagethread.gateway.exchange.ResponseWriter;
 import org.lovagethread.gateway.log.EventLog;
 import org.lovagethread.gateway.policy.Admission;
 import org.lovagethread.gateway.policy.Placement;
@@ -72,6 +73,8 @@
     PromptPrefix prefix = PromptPrefix.NONE;
     final FakeStore store = new FakeStore();
     boolean storeOutage;
+    RelayFallback fallback = RelayFallback.NONE;
+    Optional<String> apiKey = Optional.empty();
     final StreamVersions versions = new StreamVersions();
     OptionalLong lastEventId = OptionalLong.empty();
     Optional<String> resumedRequestId = Optional.empty();
@@ -164,7 +167,7 @@
                 service,
                 Optional.empty(),
                 OptionalLong.empty());
-        Exchange exchange = new Exchange(this, this, admitted, currentMillis);
+        Exchange exchange = new Exchange(this, this, admitted, fallback, currentMillis);
         exchange.start();
         return exchange;
     }
@@ -191,7 +194,7 @@
     public RequestAttributes readAttributes(HttpRequest request) {
         return new RequestAttributes(
                 request.headers().get("X-Request-Id", "id"),
-                Optional.empty(),
+                apiKey,
                 OptionalLong.of(2_500),
                 OptionalInt.empty(),
                 0,
