Name the last peer in the log line of a request that no peer has run

Cause: the connection to a peer that refuses was forgotten before the line request-relayed was written.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/relay/Relay.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/relay/Relay.java
@@ -33,6 +33,7 @@
     private final long startedMillis;
     private final Set<InetSocketAddress> triedPeers = new HashSet<>();
     private Optional<RelayLink> link = Optional.empty();
+    private Optional<InetSocketAddress> lastPeer = Optional.empty();
     private String reason = "no peer has links to upstreams";
     private boolean streaming;
     private boolean ended;
@@ -55,6 +56,7 @@
         triedPeers.add(peer.get().address());
         RelayLink opened = new RelayLink(client, peer.get().address(), this);
         link = Optional.of(opened);
+        lastPeer = Optional.of(opened.peer());
         opened.open(request.body().readableBytes());
     }
 
@@ -228,12 +230,11 @@
 
     private void end(RelayOutcome outcome) {
         ended = true;
-        Optional<InetSocketAddress> peer = link.map(RelayLink::peer);
         link.ifPresent(RelayLink::close);
         client.reporter()
                 .reportEnd(
                         request,
-                        peer,
+                        lastPeer,
                         outcome,
                         outcome == RelayOutcome.ANSWERED ? "" : reason,
                         startedMillis,
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/relay/RelayFailureTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/relay/RelayFailureTest.java
@@ -178,6 +178,11 @@
             assertThat(caller.retryAfterMillis).isPositive();
             assertThat(target.runs).isEmpty();
             assertThat(callOnLoop(server::activeRequests)).isZero();
+            await(() -> logText.toString(StandardCharsets.UTF_8).contains("request-relayed"));
+            assertThat(logText.toString(StandardCharsets.UTF_8))
+                    .contains("\"peer\":\"127.0.0.1\"")
+                    .contains("\"outcome\":\"not-accepted\"")
+                    .contains("\"reason\":\"isolated\"");
         }
 
         @Test
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/relay/RelayFixture.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/relay/RelayFixture.java
@@ -56,7 +56,8 @@
 
     final NioEventLoopGroup group = new NioEventLoopGroup(1);
     final EventLoop loop = group.next();
-    final EventLog log = new EventLog("g", new ByteArrayOutputStream());
+    final ByteArrayOutputStream logText = new ByteArrayOutputStream();
+    final EventLog log = new EventLog("g", logText);
     final GatewayMetrics metrics = new GatewayMetrics();
     final FakeTarget target = new FakeTarget();
     final RelayClock clock = new RelayClock() {
@@ -82,6 +83,7 @@
 
     @BeforeEach
     void start() throws Exception {
+        log.start();
         listener = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -99,6 +101,7 @@
 
     @AfterEach
     void stop() {
+        log.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
