Test where events of a stream are divided and broken off

They passed when added: events are split alike wherever their bytes are divided, identifiers come from their field only, each beginning of an event counts as a part of it, streams may mix events with and without identifiers, and an end that comes too early is noticed while reading is paused. One file is formatted.

--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/CallerChannelHandlerTest.java
@@ -211,7 +211,8 @@
                 new HttpResponseEncoder(),
                 new CallerChannelHandler(gateway.callerServer(), ClientLimits.DEFAULT));
         connection.freezeTime();
-        connection.writeInbound(Unpooled.copiedBuffer(requestLine + "\r\nHost: h\r\nContent-Length: 5\r\n\r\n", StandardCharsets.US_ASCII));
+        connection.writeInbound(Unpooled.copiedBuffer(
+                requestLine + "\r\nHost: h\r\nContent-Length: 5\r\n\r\n", StandardCharsets.US_ASCII));
         return connection;
     }
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EventSplitterTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EventSplitterTest.java
@@ -35,6 +35,34 @@
         assertThat(splitter.hasPartialEvent()).isFalse();
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n"})
+    void splitsAlikeWhereverTheBytesAreDivided(String lineEnd) {
+        String first = ": id: 8\ndata: id: 9\nid: 1\n\n".replace("\n", lineEnd);
+        String second = "id: 2\ndata: b\ndata: c\n\n".replace("\n", lineEnd);
+        for (int i = 0; i <= (first + second).length(); i++) {
+            events.clear();
+            feed((first + second).substring(0, i));
+            feed((first + second).substring(i));
+            assertThat(events).containsExactly("1=" + first, "2=" + second);
+            assertThat(splitter.hasPartialEvent()).isFalse();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n"})
+    void takesEachBeginningOfAnEventForAPartOfIt(String lineEnd) {
+        String event = "id: 2\ndata: b\n\n".replace("\n", lineEnd);
+        for (int i = 1; i < event.length(); i++) {
+            EventSplitter interrupted = new EventSplitter();
+            interrupted.feed(
+                    Unpooled.copiedBuffer(event.substring(0, i), StandardCharsets.UTF_8),
+                    (id, part) -> events.add("unexpected"));
+            assertThat(interrupted.hasPartialEvent()).isTrue();
+        }
+        assertThat(events).isEmpty();
+    }
+
     @Test
     void splitsEventsReceivedTogether() {
         feed("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda");
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -284,6 +284,22 @@
             assertThat(context.response).isEqualTo("200 ");
         }
 
+        @Test
+        void mayContainEventsWithoutIdentifiers() {
+            String begun = "id: 1\ndata: a\n\ndata: b\n\nid: x\ndata: c\n\nid: 2\ndata: d\n\n";
+            String rest = "id: 3\ndata: e\n\n";
+            context.start(RouteKind.EVENT_STREAM, true, 2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData(begun);
+            context.lastAttempt().listener.onFailure("reset");
+            assertThat(context.lastAttempt().lastEventId).isEqualTo(2);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData(rest);
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.streamedEvents).hasToString(begun + rest);
+            assertThat(context.response).isEqualTo("200 stream complete");
+        }
+
         @Test
         void areAbortedIfAnEventIsMissing() {
             context.start(RouteKind.EVENT_STREAM, false, 1);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -30,6 +31,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -38,6 +40,7 @@
 class UpstreamConnectionTest {
     private static final long TIMEOUT_MILLIS = 5_000;
     private static final long MAX_IDLE_MILLIS = 4_000;
+    private static final long PAUSE_MILLIS = 100;
 
     /** Size of an upload that does not fit into the buffers of the operating system. */
     private static final int UPLOAD_BYTES = 32 * 1024 * 1024;
@@ -489,6 +492,28 @@
             }
         }
 
+        @ParameterizedTest
+        @CsvSource({"chunked, CLOSE", "chunked, RESET", "none, RESET"})
+        void rejectsResponseThatIsBrokenOffWhileReadingIsPaused(String encoding, ScriptedServer.Ending ending)
+                throws Exception {
+            String header = encoding.equals("none") ? "" : "Transfer-Encoding: " + encoding + "\r\n";
+            String response = withId("HTTP/1.1 200 OK\r\n" + header, "a") + "2\r\nok\r\n";
+            AtomicReference<UpstreamClient.RequestHandle> handle = new AtomicReference<>();
+            RecordingListener listener = new RecordingListener() {
+                @Override
+                public void onData(ByteBuf bytes) {
+                    handle.get().setReading(false);
+                    loop.schedule(() -> handle.get().setReading(true), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+                }
+            };
+            try (ScriptedServer server =
+                    new ScriptedServer((connection, request) -> new ScriptedServer.Reply(response, ending))) {
+                loop.execute(() -> handle.set(send(client, server, "a", listener)));
+                assertThat(listener.outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
+                        .endsWith("failed");
+            }
+        }
+
         private static Stream<Arguments> truncatedHeads() {
             return Stream.of("Content-Length: 0\r\n", "Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "")
                     .map(framing -> withId("HTTP/1.1 200 OK\r\nproof: 1\r\n" + framing, "a"))
