Break a run off whose events come again

A caller could get the rest of another run behind the events it had, in a response that looked complete: where an upstream went back, the events that the caller had were dropped and those behind them appended.

Cause: an event up to the caller's last one was dropped instead of asking whether the run still goes on after it.

ExchangeTest.EventStreams.areAbortedIfEventsComeAgain (two cases) failed before: event 3 was streamed. The next numbered event must now be the one after the last one; the special case for events that the caller has is gone. ExchangeTest, ExchangePauseTest, ExchangeVersionTest and StreamOriginsTest pass.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -344,7 +344,7 @@
     }
 
     private void onEvent(Attempt source, long id, ByteBuf event) {
-        if (attempt != source || (position.includes(id) && !attempt.awaitsContinuation())) {
+        if (attempt != source) {
             return;
         }
         long now = context.nowMillis();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamPosition.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamPosition.java
@@ -41,11 +41,6 @@
         return !started || lastEventNumbered;
     }
 
-    /** Returns whether the caller has received an event. */
-    boolean includes(long id) {
-        return id >= 0 && id <= lastEventId;
-    }
-
     /** Returns whether an event cannot follow the last one of this response. */
     boolean isGap(long id, boolean awaitsContinuation) {
         boolean mustContinue = awaitsContinuation || (started && id >= 0 && lastEventId >= 0);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeTest.java
@@ -284,6 +284,19 @@
             assertThat(context.response).isEqualTo("200 ");
         }
 
+        // What followed the events that came again was of another run, in a response that looked complete.
+        @ParameterizedTest
+        @ValueSource(strings = {"id: 2\ndata: x\n\n", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"})
+        void areAbortedIfEventsComeAgain(String again) {
+            context.start(RouteKind.EVENT_STREAM, false, 1);
+            context.lastAttempt().sendHeader(200, FakeExchangeContext.PROOF);
+            context.lastAttempt().sendData("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            context.lastAttempt().sendData(again + "id: 3\ndata: z\n\n");
+            context.lastAttempt().listener.onEnd();
+            assertThat(context.streamedEvents).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+            assertThat(context.response).isEqualTo("200 stream aborted");
+        }
+
         @Test
         void mayContainEventsWithoutIdentifiers() {
             String begun = "id: 1\ndata: a\n\ndata: b\n\nid: x\ndata: c\n\nid: 2\ndata: d\n\n";
