--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -350,7 +350,7 @@
     }
 
     private void onEvent(Attempt source, long id, ByteBuf event) {
-        if (attempt != source || (position.includes(id) && !attempt.awaitsContinuation())) {
+        if (attempt != source) {
             return;
         }
         long now = context.nowMillis();
