Share the room of brittle upstreams among all gateways

Callers would have seen cut responses and 503 for seconds: an upstream that states how many rejections in a second it survives was sent more requests than it had room for, fell over, and was filled again as soon as it returned.

Cause: each gateway sent to the upstream with the least load, by reports of up to 140 ms ago. All saw the same free room and all filled it; rejections were nobody's budget. A returned upstream was not known to be brittle.

Change: the number is read from each response before anything else is done with it, kept by process, taken for other upstreams of the service that have not responded yet, and forgotten when responses cease to contain it. Gateways divide the room by claims: a claim shrinks at once, and grows only into room that nobody claims, after the peers had time to object. This was preferred to shares of the reported load, because two gateways may add the same room between two reports. Equal shares are left for gateways that are not heard. A rejection reduces the room; when half of the number is used up, nothing is sent until the second is over. Requests without room wait at their gateway while they can be served in time, the most urgent first, and are refused at once as not executed if they cannot. A malformed number is counted, and the last sound one applies, or zero.

The room is the number of slots: places for waiting are unknown, and finding them costs rejections. The constants of the estimate (reduction to 0.8, hold of 10 s) are chosen, not measured.

The listener for leaving notices became UpstreamNotices, which reads both notices; UpstreamConnectionTest checks the same calls through it. Building the request of an attempt moved from Exchange to AttemptSender.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AttemptRecorder.java
@@ -32,6 +32,7 @@
     /** Records that a request is about to be sent to the upstream of an attempt. */
     void recordSent(Attempt attempt) {
         Upstream upstream = attempt.upstream;
+        context.upstreams().brittle().recordSent(upstream.entry(), attempt.sentMillis);
         upstream.load().recordStart(attempt.choice.unreadTokens(), attempt.memoryTokens);
         if (service.engine().isPresent()) {
             model().recordPrompt(attempt.choice.unreadTokens(), attempt.memoryTokens);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/CellExchange.java
@@ -44,12 +44,14 @@
 
     private final Gateway gateway;
     private final CellTable cells;
+    private final BrittleExchange brittleExchange;
     private final UpstreamSpeedCodec speedCodec = new UpstreamSpeedCodec();
     private final Map<String, Integer> contactAttempts = new HashMap<>();
     private long nextSendMillis;
     private long sequence;
 
-    CellExchange(Gateway gateway, String zone) {
+    CellExchange(Gateway gateway, String zone, BrittleExchange brittleExchange) {
+        this.brittleExchange = brittleExchange;
         this.gateway = gateway;
         this.cells = new CellTable(zone);
     }
@@ -154,6 +156,7 @@
                 state.getLeavingUpstreamsList(), state.getLeavingRemainingMillisList(), gateway.upstreams(), nowMillis);
         state.getResignedTermsList().forEach(gateway.lease()::recordPeerResignation);
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), cell, gateway.upstreams(), nowMillis);
+        brittleExchange.apply(cell, state.getBrittleUpstreamsList(), nowMillis);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), cell, gateway.engineModels(), nowMillis);
         UpstreamSpeedCodec.applyPeer(
                 state.getSpeeds(), cell, gateway.upstreams().all(), nowMillis);
@@ -253,6 +256,7 @@
         state.addAllRollouts(
                 gateway.rolloutService().cellSummaries(sequence % SUMMARIES_PER_ROLLOUT_STATISTICS == 0, nowMillis));
         return state.addAllZoneFlows(gateway.zoneTraffic().reportForCells(nowMillis))
+                .addAllBrittleUpstreams(brittleExchange.claimsOfCell(nowMillis))
                 .setCrashEvidence(PromptEvidenceCodec.encode(
                         gateway.promptQuarantine().combinedEvidence(peer -> !peer.startsWith(CELL_PREFIX), nowMillis),
                         nowMillis))
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -1,8 +1,6 @@
 package org.lovagethread.gateway.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
 import java.util.Optional;
@@ -22,7 +20,7 @@
  * <p>A request that an upstream may have executed is retried only if its route is retryable. An error that states that
  * the request was not executed is sent only if this is certain.
  */
-final class Exchange implements UpstreamClient.Listener {
+final class Exchange implements UpstreamClient.Listener, RoomQueue.Waiter {
     /** Maximum number of attempts for one request, including those that were certainly not executed. */
     private static final int MAX_ATTEMPTS = 3;
 
@@ -32,8 +30,6 @@
     private final ExchangeContext context;
     private final ResponseClassifier responses;
     private final ResponseWriter caller;
-    private final HttpRequest request;
-    private final ByteBuf body;
     private final RequestAttributes attributes;
     private final Route route;
     private final Optional<Customer> customer;
@@ -45,6 +41,7 @@
     private final ExchangeRecord record;
     private final AttemptRecorder recorder;
     private final UpstreamSelector selector;
+    private final AttemptSender sender;
     private final StreamPosition position;
     private final Suspension suspension = new Suspension();
 
@@ -62,8 +59,6 @@
         this.context = context;
         this.responses = new ResponseClassifier(context.headerCodec());
         this.caller = caller;
-        this.request = admitted.request();
-        this.body = admitted.body();
         this.attributes = admitted.attributes();
         this.route = admitted.route();
         this.customer = admitted.customer();
@@ -75,6 +70,7 @@
         this.record = new ExchangeRecord(admitted, nowMillis);
         this.recorder = new AttemptRecorder(context, admitted, demand);
         this.selector = new UpstreamSelector(context, admitted, demand);
+        this.sender = new AttemptSender(context, admitted);
     }
 
     /** Starts the first attempt, once it is known which upstreams may serve the request. */
@@ -199,11 +195,23 @@
         } else if (selection instanceof UpstreamSelector.Refuse refusal) {
             record.recordPrediction(refusal.choice(), context.upstreamsRevision(), nowMillis);
             refuse(ErrorKind.OVERLOADED, refusal.retryAfterMillis(), nowMillis);
+        } else if (selection instanceof UpstreamSelector.AwaitRoom wait && !suspension.isPresent()) {
+            selector.lineUp(this, triedUpstreams, wait.latestMillis());
         } else {
             giveUp(AttemptOutcome.NOT_SENT, "no upstream available", nowMillis);
         }
     }
 
+    @Override
+    public void onRoom() {
+        runGuarded(() -> dispatch(context.nowMillis()));
+    }
+
+    @Override
+    public void onNoRoom() {
+        runGuarded(() -> giveUp(AttemptOutcome.NOT_SENT, "no room at the upstreams in time", context.nowMillis()));
+    }
+
     private void refuseQuarantined(long nowMillis) {
         context.promptQuarantine().recordRefusal(attributes.prefix(), nowMillis);
         if (possibleRuns > 0) {
@@ -228,23 +236,11 @@
         attempt = newAttempt;
         recorder.recordSent(newAttempt);
         record.recordAttempt(upstream.entry(), (long) choice.predictedLatencyMillis(), nowMillis);
-        HttpHeaders headers = context.headerCodec()
-                .createUpstreamHeaders(
-                        request,
-                        new HeaderCodec.AttemptAttributes(
-                                upstream.entry(),
-                                customer.map(Customer::name),
-                                remainingMillis,
-                                record.admitted().priority(),
-                                position.lastEventId()));
-        UpstreamClient.RequestHandle handle = context.upstreamClient()
-                .send(
-                        upstream.entry(),
-                        request,
-                        headers,
-                        body,
-                        !route.isRetryable(),
-                        new AttemptListener(this, () -> attempt == newAttempt, this::onInternalError));
+        UpstreamClient.RequestHandle handle = sender.send(
+                upstream.entry(),
+                remainingMillis,
+                position.lastEventId(),
+                new AttemptListener(this, () -> attempt == newAttempt, this::onInternalError));
         if (attempt == newAttempt) {
             newAttempt.handle = handle;
         }
@@ -539,6 +535,7 @@
 
     private void finish(String outcome, long nowMillis) {
         ended = true;
+        context.roomQueue().remove(this);
         suspension.end();
         endAttempt();
         record.recordOutcome(outcome, nowMillis);
@@ -553,6 +550,7 @@
         attempt = null;
         readingPaused = false;
         finished.release();
+        context.roomQueue().wake();
     }
 
     private void recordActivity() {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/ExchangeContext.java
@@ -53,6 +53,9 @@
     /** Returns the limit of the memory for buffered responses. */
     ResponseMemory responseMemory();
 
+    /** Returns the requests that wait until a brittle upstream has room. */
+    RoomQueue roomQueue();
+
     /** Returns the client for upstreams. */
     UpstreamClient upstreamClient();
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -46,8 +46,6 @@
 import org.lovagethread.gateway.store.EraStore;
 import org.lovagethread.gateway.store.Scheduler;
 import org.lovagethread.gateway.store.StateSync;
-import org.lovagethread.gateway.upstream.LeavingMark;
-import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 import org.lovagethread.wire.generated.GatewayDatagram;
 
@@ -98,6 +96,8 @@
     private final UsageReporter usageReporter;
     private final PromptEvidenceStore promptEvidence;
     private final FleetManager fleetManager;
+    private final RoomQueue roomQueue = new RoomQueue(loop, this::nowMillis);
+    private final UpstreamNotices notices;
     private final NettyUpstreamClient upstreamClient;
     private final CallerServer callerServer;
     private final PeerExchange peerExchange;
@@ -172,12 +172,13 @@
         this.fleetManager =
                 new FleetManager(ports.duties(), upstreams, engineModels, this::nowMillis, lease::fencingToken, log);
         fleetManager.followDemand(service -> zoneTraffic.demandByZone(service, nowMillis()));
+        this.notices = new UpstreamNotices(ports.headerCodec(), upstreams, this::nowMillis, log);
         this.upstreamClient = new NettyUpstreamClient(
                 loop,
                 ports.headerCodec(),
                 this::nowMillis,
                 bounds.silenceTimeouts().contactMillis(),
-                this::onLeavingNotice);
+                notices::read);
         store.onRestore(() -> loop.execute(sync::onRestore));
         store.onRestore(promptEvidence::onRestore);
         this.callerServer = new CallerServer(this, new RequestRouter(ports.headerCodec(), quota, Math::random));
@@ -234,14 +235,6 @@
         return (InetSocketAddress) callerListener.localAddress();
     }
 
-    /** Marks an upstream as leaving, which it has said in a response. Peers receive the mark with the next state. */
-    private void onLeavingNotice(UpstreamEntry upstream) {
-        LeavingMark mark = LeavingMark.announced(upstream);
-        if (upstreams.markLeaving(mark, UpstreamTable.LEAVING_MARK_MILLIS, nowMillis())) {
-            log.add(log.line("upstream-leaving").put("upstream", mark.text()).put("source", "response"));
-        }
-    }
-
     /** Returns whether this gateway may still process a request, which it may not if it is about to stop. */
     boolean accepts(AdmittedRequest request, long nowMillis) {
         return shutdown.accepts(request, nowMillis);
@@ -350,6 +343,7 @@
         rollouts.expose(metrics);
         speedMonitor.updateMetrics(metrics, nowMillis());
         upstreamClient.publish(metrics);
+        notices.publish(metrics);
         return new SimpleHttpServer.Response(
                 HttpResponseStatus.OK, "text/plain; version=0.0.4", ByteString.copyFrom(metrics.exposition()));
     }
@@ -588,6 +582,11 @@
         return responseMemory;
     }
 
+    @Override
+    public RoomQueue roomQueue() {
+        return roomQueue;
+    }
+
     @Override
     public UpstreamClient upstreamClient() {
         return upstreamClient;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/HeaderCodec.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import java.util.Set;
+import org.lovagethread.gateway.upstream.BrittleNotice;
 import org.lovagethread.gateway.upstream.PauseRequest;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 
@@ -67,6 +68,14 @@
      */
     LeavingNotice leavingNotice(HttpResponse response);
 
+    /**
+     * Returns what a response says about how many rejections its upstream survives.
+     *
+     * @param response the response header
+     * @return the notice; none if the response is from another upstream at the same address
+     */
+    BrittleNotice brittleNotice(HttpResponse response);
+
     /**
      * Returns the pause that an upstream requests in a response by which it rejects a request.
      *
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/NettyUpstreamClient.java
@@ -22,7 +22,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.lovagethread.gateway.log.GatewayMetrics;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
@@ -43,19 +43,18 @@
     private final HeaderCodec headerCodec;
     private final LongSupplier clock;
     private final long maxIdleMillis;
-    private final Consumer<UpstreamEntry> leavingListener;
+    private final BiConsumer<UpstreamEntry, HttpResponse> responseListener;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
     private long openedConnections;
     private long connectionsWithSurplusBytes;
-    private long malformedLeavingNotices;
 
     NettyUpstreamClient(
             EventLoop loop,
             HeaderCodec headerCodec,
             LongSupplier clock,
             long maxIdleMillis,
-            Consumer<UpstreamEntry> leavingListener) {
-        this.leavingListener = leavingListener;
+            BiConsumer<UpstreamEntry, HttpResponse> responseListener) {
+        this.responseListener = responseListener;
         this.maxIdleMillis = maxIdleMillis;
         this.headerCodec = headerCodec;
         this.clock = clock;
@@ -95,20 +94,15 @@
         idle.values().removeIf(Deque::isEmpty);
     }
 
-    /** Sets the gauges of connections and of leaving notices with undefined values. */
+    /** Sets the gauges of connections. */
     void publish(GatewayMetrics metrics) {
-        metrics.setState("malformed_leaving_notices", malformedLeavingNotices);
         metrics.setState("upstream_connections_opened", openedConnections);
         metrics.setState("upstream_connections_with_surplus_bytes", connectionsWithSurplusBytes);
     }
 
-    /** Handles a leaving notice before anything else is done with the response that contains it. */
-    void readLeavingNotice(UpstreamEntry upstream, HttpResponse response) {
-        switch (headerCodec.leavingNotice(response)) {
-            case LEAVING -> leavingListener.accept(upstream);
-            case MALFORMED -> malformedLeavingNotices++;
-            case NONE -> {}
-        }
+    /** Reads what the upstream says of itself, before anything else is done with the response. */
+    void readNotices(UpstreamEntry upstream, HttpResponse response) {
+        responseListener.accept(upstream, response);
     }
 
     void recordSurplusBytes() {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -77,6 +77,7 @@
     private final CellExchange cellExchange;
     private final UpstreamSpeedCodec speedCodec = new UpstreamSpeedCodec();
     private final GatewayRegistry registry;
+    private final BrittleExchange brittleExchange;
     private final Map<String, Long> laggingSinceMillis = new HashMap<>();
     private final Set<String> pendingFetches = new HashSet<>();
     private PeerDatagramChannel peerChannel;
@@ -88,7 +89,8 @@
     PeerExchange(Gateway gateway, PooledHttpClient httpClient) {
         this.gateway = gateway;
         this.httpClient = httpClient;
-        this.cellExchange = new CellExchange(gateway, gateway.settings().zone());
+        this.brittleExchange = new BrittleExchange(gateway);
+        this.cellExchange = new CellExchange(gateway, gateway.settings().zone(), brittleExchange);
         this.registry = new GatewayRegistry(
                 gateway.store(),
                 gateway.settings(),
@@ -113,7 +115,8 @@
     }
 
     void tick(long nowMillis) {
-        if (nowMillis >= nextSendMillis) {
+        brittleExchange.tick(nowMillis);
+        if (nowMillis >= nextSendMillis || brittleExchange.isUrgent(nowMillis)) {
             nextSendMillis =
                     nowMillis + (gateway.peers().usesCells() ? CELL_SEND_INTERVAL_MILLIS : SEND_INTERVAL_MILLIS);
             maintainRegistry(nowMillis);
@@ -231,6 +234,7 @@
         }
         gateway.streamOriginService().addTo(state);
         state.addAllRollouts(gateway.rolloutService().gatewaySummaries(nowMillis));
+        state.addAllBrittleUpstreams(brittleExchange.nextClaims(nowMillis));
         return state.addAllZoneFlows(
                         gateway.zoneTraffic().reportForPeers(gateway.peers().usesCells(), nowMillis))
                 .setCrashEvidence(
@@ -291,6 +295,7 @@
                                 .put("upstream", mark)
                                 .put("source", process)));
         UpstreamUseCodec.applyPeerUses(state.getUsesList(), state.getNode(), gateway.upstreams(), now);
+        brittleExchange.apply(state.getNode(), state.getBrittleUpstreamsList(), now);
         EngineStatisticsCodec.applyPeer(state.getEnginesList(), process, gateway.engineModels(), now);
         UpstreamSpeedCodec.applyPeer(
                 state.getSpeeds(), process, gateway.upstreams().all(), now);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamConnection.java
@@ -206,7 +206,7 @@
     }
 
     private void onHeader(HttpResponse response) {
-        client.readLeavingNotice(upstream, response);
+        client.readNotices(upstream, response);
         boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational || belongsToAnotherRequest(response)) {
             skippingResponse = true;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/UpstreamSelector.java
@@ -11,11 +11,18 @@
 import org.lovagethread.gateway.policy.AttemptOutcome;
 import org.lovagethread.gateway.policy.Placement;
 import org.lovagethread.gateway.rollout.RolloutTable;
+import org.lovagethread.gateway.upstream.BrittleUpstreams;
 import org.lovagethread.gateway.upstream.Upstream;
 import org.lovagethread.gateway.upstream.UpstreamPauses;
 
 /** Selects the upstream for the next attempt of a request, or decides that the request is refused. */
 final class UpstreamSelector {
+    /** Share of the time that is not needed for processing for which a request may wait for room. */
+    private static final double MAX_WAIT_SHARE = 0.5;
+
+    /** Time for which a request may wait beyond twice the predicted time, in milliseconds. */
+    private static final long WAIT_SLACK_MILLIS = 500;
+
     private final ExchangeContext context;
     private final AdmittedRequest admitted;
     private final Placement.Demand demand;
@@ -30,6 +37,13 @@
     /** The request is refused, although there is an upstream. */
     record Refuse(Placement.Choice choice, long retryAfterMillis) implements Selection {}
 
+    /**
+     * The request waits until an upstream has room for it.
+     *
+     * @param latestMillis the time until which it may wait, in milliseconds
+     */
+    record AwaitRoom(long latestMillis) implements Selection {}
+
     /** There is no upstream that may receive the request. */
     record Unavailable() implements Selection {}
 
@@ -90,7 +104,15 @@
             return selection;
         }
         Selection other = select(candidates.fallback(), triedUpstreams, remainingMillis, nowMillis);
-        return other instanceof Unavailable ? selection : other;
+        boolean isBetter = other instanceof Send || !(other instanceof Unavailable || selection instanceof AwaitRoom);
+        return isBetter ? other : selection;
+    }
+
+    /** Lets a request wait until an upstream has room for it. */
+    void lineUp(RoomQueue.Waiter waiter, Set<String> triedUpstreams, long latestMillis) {
+        String group = admitted.service().name() + version.orElse("") + triedUpstreams;
+        context.upstreams().brittle().recordWaiting();
+        context.roomQueue().add(waiter, admitted.service().name(), group, admitted.priority(), latestMillis);
     }
 
     private RolloutTable.Candidates candidates(Set<String> triedUpstreams, long nowMillis) {
@@ -109,14 +131,13 @@
         Route route = admitted.route();
         ServiceSpec service = admitted.service();
         boolean isFirstAttempt = triedUpstreams.isEmpty();
+        List<Upstream> open = pauses().candidates(candidates, triedUpstreams, nowMillis);
+        List<Upstream> withRoom = withRoom(open, nowMillis);
+        if (withRoom.size() < open.size() && !isAnyUsable(withRoom, triedUpstreams, nowMillis)) {
+            return awaitRoom(open, triedUpstreams, remainingMillis, nowMillis);
+        }
         Optional<Placement.Choice> choice = context.placement()
-                .choose(
-                        service,
-                        pauses().candidates(candidates, triedUpstreams, nowMillis),
-                        triedUpstreams,
-                        demand,
-                        route.isRetryable() && isFirstAttempt,
-                        nowMillis);
+                .choose(service, withRoom, triedUpstreams, demand, route.isRetryable() && isFirstAttempt, nowMillis);
         if (choice.isEmpty()) {
             return new Unavailable();
         }
@@ -128,6 +149,46 @@
         return new Send(choice.get());
     }
 
+    /** Returns the upstreams that have room; those that are brittle have none while other requests wait. */
+    private List<Upstream> withRoom(List<Upstream> upstreams, long nowMillis) {
+        BrittleUpstreams brittle = context.upstreams().brittle();
+        return context.roomQueue().mustLineUp(admitted.service().name())
+                ? brittle.withoutBrittle(upstreams, nowMillis)
+                : brittle.withRoom(upstreams, nowMillis);
+    }
+
+    private static boolean isAnyUsable(List<Upstream> upstreams, Set<String> triedUpstreams, long nowMillis) {
+        return upstreams.stream()
+                .anyMatch(upstream -> !triedUpstreams.contains(upstream.entry().id())
+                        && !upstream.failureDetector().shouldAvoid(nowMillis));
+    }
+
+    /** Lets the request wait if the upstreams are expected to serve it in time, and refuses it otherwise. */
+    private Selection awaitRoom(
+            List<Upstream> upstreams, Set<String> triedUpstreams, long remainingMillis, long nowMillis) {
+        ServiceSpec service = admitted.service();
+        Optional<Placement.Choice> choice =
+                context.placement().choose(service, upstreams, triedUpstreams, demand, false, nowMillis);
+        if (choice.isEmpty()) {
+            return new Unavailable();
+        }
+        double processingMillis = choice.get().processingMillis();
+        double occupancyMillis = service.engine().isEmpty()
+                ? processingMillis
+                : context.engineModels().of(service.name()).estimate(nowMillis).streamMillis();
+        int claimed = context.upstreams().brittle().claimed(upstreams, nowMillis);
+        double waitMillis = occupancyMillis * (context.roomQueue().waiting(service.name()) + 1) / Math.max(1, claimed);
+        Placement.Choice delayed = choice.get().startingAfter(waitMillis);
+        Admission.Candidate candidate =
+                new Admission.Candidate(admitted.route(), admitted.targetMillis(), remainingMillis);
+        if (context.roomQueue().isFull(service.name()) || !context.admission().admits(candidate, delayed)) {
+            return new Refuse(delayed, context.retryAfterMillis(service.name(), candidate, delayed, nowMillis));
+        }
+        double spareMillis = remainingMillis - processingMillis;
+        return new AwaitRoom(
+                nowMillis + (long) Math.min(spareMillis * MAX_WAIT_SHARE, 2 * waitMillis + WAIT_SLACK_MILLIS));
+    }
+
     /**
      * Returns the time after which a request should be sent again that no upstream has executed: when the first pause
      * ends if all upstreams of the service are paused.
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/policy/Placement.java
@@ -116,6 +116,17 @@
             double predictedLatencyMillis,
             double processingMillis,
             boolean waitsForCapacity) {
+        /**
+         * Returns the choice for a request that is sent only later.
+         *
+         * @param waitMillis the time until it is sent, in milliseconds
+         * @return the choice, in which the request does not wait at the upstream
+         */
+        public Choice startingAfter(double waitMillis) {
+            return new Choice(
+                    upstream, unreadTokens, queuedTokens, waitMillis + processingMillis, processingMillis, true);
+        }
+
         /** Returns whether the upstream is that of a plain service and probably has a free slot for the request. */
         boolean isPlainWithFreeSlot() {
             return queuedTokens == 0 && !waitsForCapacity;
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamEntry.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamEntry.java
@@ -51,6 +51,15 @@
         return new UpstreamEntry(id, service, host, port, zone, slots, true, reclaimable, startedAtMillis, version);
     }
 
+    /**
+     * Returns the name of the process, which is another one after each start.
+     *
+     * @return the identifier and the start time, separated by a number sign
+     */
+    public String process() {
+        return id + '#' + startedAtMillis;
+    }
+
     // Implemented explicitly, because linking the generated methods at run time delays the start of the process by
     // tens of milliseconds.
     @Override
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamPauses.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamPauses.java
@@ -79,7 +79,7 @@
      */
     public void record(UpstreamEntry upstream, PauseRequest request, long sentMillis, long nowMillis) {
         UpstreamPause pause =
-                pauseByProcess.computeIfAbsent(process(upstream), key -> new UpstreamPause(upstream, nowMillis));
+                pauseByProcess.computeIfAbsent(upstream.process(), key -> new UpstreamPause(upstream, nowMillis));
         boolean changed = pause.request(
                 request.pauseMillis(), request.form().mayShorten() ? sentMillis : Long.MIN_VALUE, nowMillis);
         report(new Decision(
@@ -100,7 +100,7 @@
         if (pauseByProcess.isEmpty()) {
             return false;
         }
-        UpstreamPause pause = pauseByProcess.get(process(upstream));
+        UpstreamPause pause = pauseByProcess.get(upstream.process());
         return pause != null && pause.isPaused(nowMillis);
     }
 
@@ -165,7 +165,7 @@
     public OptionalLong retryAfterMillis(List<Upstream> upstreams, long nowMillis) {
         UpstreamPause first = null;
         for (Upstream upstream : upstreams) {
-            UpstreamPause pause = pauseByProcess.get(process(upstream.entry()));
+            UpstreamPause pause = pauseByProcess.get(upstream.entry().process());
             if (pause == null || !pause.isPaused(nowMillis)) {
                 return OptionalLong.empty();
             }
@@ -228,7 +228,7 @@
     }
 
     private boolean isAdmitted(UpstreamEntry upstream, long nowMillis) {
-        UpstreamPause pause = pauseByProcess.get(process(upstream));
+        UpstreamPause pause = pauseByProcess.get(upstream.process());
         return pause == null || random.getAsDouble() < pause.admittedShare(nowMillis);
     }
 
@@ -239,8 +239,4 @@
             omittedDecisions++;
         }
     }
-
-    private static String process(UpstreamEntry upstream) {
-        return upstream.id() + '#' + upstream.startedAtMillis();
-    }
 }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamTable.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/upstream/UpstreamTable.java
@@ -29,6 +29,7 @@
     public static final long LEAVING_MARK_MILLIS = 16_000;
 
     private final UpstreamPauses pauses = new UpstreamPauses(Math::random);
+    private final BrittleUpstreams brittle = new BrittleUpstreams();
     private final Map<String, Upstream> byId = new LinkedHashMap<>();
     private final Map<String, Grace> graceById = new HashMap<>();
     private final Map<LeavingMark, Long> leavingMarkDeadlines = new LinkedHashMap<>();
@@ -205,6 +206,17 @@
         return Optional.ofNullable(byId.get(id));
     }
 
+    /**
+     * Returns an upstream by its process.
+     *
+     * @param process the process, as returned by {@link UpstreamEntry#process}
+     * @return the upstream, or empty if it is unknown or has another process
+     */
+    public Optional<Upstream> findProcess(String process) {
+        return find(process.substring(0, Math.max(0, process.lastIndexOf('#'))))
+                .filter(upstream -> upstream.entry().process().equals(process));
+    }
+
     /**
      * Returns the upstreams of a service that can receive new requests.
      *
@@ -242,6 +254,15 @@
         return pauses;
     }
 
+    /**
+     * Returns the limits of upstreams that fall over when they have to reject too many requests.
+     *
+     * @return the brittle upstreams
+     */
+    public BrittleUpstreams brittle() {
+        return brittle;
+    }
+
     /**
      * Returns all upstreams.
      *
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
@@ -60,7 +60,7 @@
         private String assertClosed(String first, String repeated) throws Exception {
             try (EndlessServer server = new EndlessServer(first, repeated)) {
                 NettyUpstreamClient client = new NettyUpstreamClient(
-                        loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
+                        loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, (upstream, response) -> {});
                 loop.execute(() -> send(client, server.address()));
                 String reason = failure.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
                 assertThat(server.awaitClosedByClient(TIMEOUT_MILLIS)).isTrue();
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -39,6 +39,7 @@
 import org.lovagethread.gateway.rollout.RolloutLog;
 import org.lovagethread.gateway.rollout.RolloutTable;
 import org.lovagethread.gateway.store.FakeStore;
+import org.lovagethread.gateway.upstream.BrittleNotice;
 import org.lovagethread.gateway.upstream.PauseRequest;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -48,6 +49,7 @@
     static final String NOT_RUN = "not-run";
     static final String PROOF = "proof";
     static final String LEAVING = "leaving";
+    static final String BRITTLE = "brittle";
 
     final List<FakeAttempt> attempts = new ArrayList<>();
     final StringBuilder streamedEvents = new StringBuilder();
@@ -80,6 +82,8 @@
     ExchangeRecord record;
     long pauseMillis;
     long retryAfterMillis;
+    final List<Runnable> tasks = new ArrayList<>();
+    private final RoomQueue roomQueue = new RoomQueue(tasks::add, this::nowMillis);
     private final EngineModels engineModels = new EngineModels();
     private final TokenQuota quota = new TokenQuota(0, 0, 0, () -> 0.5);
     private final Placement placement = new Placement(new ZoneTopology("a", Map.of("a", "north")), engineModels);
@@ -202,6 +206,13 @@
         return response.headers().contains(LEAVING) ? LeavingNotice.LEAVING : LeavingNotice.NONE;
     }
 
+    @Override
+    public BrittleNotice brittleNotice(HttpResponse response) {
+        return response.headers().contains(BRITTLE)
+                ? BrittleNotice.stated(response.headers().getInt(BRITTLE))
+                : BrittleNotice.NONE;
+    }
+
     @Override
     public Optional<PauseRequest> pauseRequest(HttpResponse rejection) {
         return pauseMillis > 0 && rejection.headers().contains(NOT_RUN)
@@ -337,6 +348,11 @@
         return responseMemory;
     }
 
+    @Override
+    public RoomQueue roomQueue() {
+        return roomQueue;
+    }
+
     @Override
     public UpstreamClient upstreamClient() {
         return this;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -127,11 +127,17 @@
         private final UpstreamEntry upstream =
                 new UpstreamEntry("i-1", "desk", "10.0.0.1", 80, "a", 6, false, false, 1);
         private final NettyUpstreamClient client = new NettyUpstreamClient(
-                new DefaultEventLoop(), context, System::currentTimeMillis, MAX_IDLE_MILLIS, leaving::add);
+                new DefaultEventLoop(), context, System::currentTimeMillis, MAX_IDLE_MILLIS, this::readNotices);
         private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
         private final UpstreamConnection connection = new UpstreamConnection(client, upstream, decoder);
         private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
 
+        private void readNotices(UpstreamEntry sender, HttpResponse response) {
+            if (context.leavingNotice(response) == HeaderCodec.LeavingNotice.LEAVING) {
+                leaving.add(sender);
+            }
+        }
+
         private FullHttpRequest request(String id) {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
             request.headers().set("X-Request-Id", id);
@@ -257,8 +263,8 @@
     private abstract class OverSockets {
         final NioEventLoopGroup group = new NioEventLoopGroup(1);
         final EventLoop loop = group.next();
-        final NettyUpstreamClient client =
-                new NettyUpstreamClient(loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, upstream -> {});
+        final NettyUpstreamClient client = new NettyUpstreamClient(
+                loop, context, System::currentTimeMillis, MAX_IDLE_MILLIS, (upstream, response) -> {});
 
         @AfterEach
         void stop() {
@@ -332,7 +338,7 @@
         void endsWhenAConnectionMayHaveGoneSilent() throws Exception {
             AtomicLong now = new AtomicLong();
             NettyUpstreamClient timedClient =
-                    new NettyUpstreamClient(loop, context, now::get, MAX_IDLE_MILLIS, upstream -> {});
+                    new NettyUpstreamClient(loop, context, now::get, MAX_IDLE_MILLIS, (upstream, response) -> {});
             ScriptedServer.Script script = (connection, request) -> ScriptedServer.Reply.keep(
                     withId(SUCCESS + "Keep-Alive: timeout=60\r\n", connection == 1 ? "a" : "b") + "ok");
             try (ScriptedServer server = new ScriptedServer(script)) {
