--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Exchange.java
@@ -1,9 +1,7 @@
 package org.lovagethread.gateway.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
 import java.util.Optional;
@@ -27,7 +25,7 @@
  * <p>A request that an upstream may have executed is retried only if its route is retryable. An error that states that
  * the request was not executed is sent only if this is certain.
  */
-final class Exchange implements UpstreamClient.Listener, ActiveRequest {
+final class Exchange implements UpstreamClient.Listener, ActiveRequest, RoomQueue.Waiter {
     /** Maximum number of attempts for one request, including those that were certainly not executed. */
     private static final int MAX_ATTEMPTS = 3;
 
@@ -37,8 +35,6 @@
     private final ExchangeContext context;
     private final ResponseClassifier responses;
     private final ResponseWriter caller;
-    private final HttpRequest request;
-    private final ByteBuf body;
     private final RequestAttributes attributes;
     private final Route route;
     private final Optional<Customer> customer;
@@ -51,6 +47,7 @@
     private final ExchangeRecord record;
     private final AttemptRecorder recorder;
     private final UpstreamSelector selector;
+    private final AttemptSender sender;
     private final StreamPosition position;
     private final Suspension suspension = new Suspension();
 
@@ -74,8 +71,6 @@
         this.context = context;
         this.responses = new ResponseClassifier(context.headerCodec());
         this.caller = caller;
-        this.request = admitted.request();
-        this.body = admitted.body();
         this.attributes = admitted.attributes();
         this.route = admitted.route();
         this.customer = admitted.customer();
@@ -88,6 +83,7 @@
         this.record = new ExchangeRecord(admitted, nowMillis);
         this.recorder = new AttemptRecorder(context, admitted, demand);
         this.selector = new UpstreamSelector(context, admitted, demand);
+        this.sender = new AttemptSender(context, admitted);
     }
 
     /** Starts the first attempt, once it is known which upstreams may serve the request. */
@@ -206,11 +202,23 @@
         } else if (selection instanceof UpstreamSelector.Refuse refusal) {
             record.recordPrediction(refusal.choice(), context.upstreamsRevision(), nowMillis);
             refuse(ErrorKind.OVERLOADED, refusal.retryAfterMillis(), nowMillis);
+        } else if (selection instanceof UpstreamSelector.AwaitRoom wait && !suspension.isPresent()) {
+            selector.lineUp(this, triedUpstreams, wait.latestMillis());
         } else {
             giveUp(AttemptOutcome.NOT_SENT, "no upstream available", nowMillis);
         }
     }
 
+    @Override
+    public void onRoom() {
+        runGuarded(() -> dispatch(context.nowMillis()));
+    }
+
+    @Override
+    public void onNoRoom() {
+        runGuarded(() -> giveUp(AttemptOutcome.NOT_SENT, "no room at the upstreams in time", context.nowMillis()));
+    }
+
     private void refuseQuarantined(long nowMillis) {
         context.promptQuarantine().recordRefusal(attributes.prefix(), nowMillis);
         if (possibleRuns > 0) {
@@ -235,27 +243,12 @@
         attempt = newAttempt;
         recorder.recordSent(newAttempt);
         record.recordAttempt(upstream.entry(), (long) choice.predictedLatencyMillis(), nowMillis);
-        HttpHeaders headers = context.headerCodec()
-                .createUpstreamHeaders(
-                        request,
-                        new HeaderCodec.AttemptAttributes(
-                                upstream.entry(),
-                                customer.map(Customer::name),
-                                remainingMillis,
-                                record.admitted().priority(),
-                                position.lastEventId()));
-        UpstreamClient.RequestHandle handle = context.upstreamClient()
-                .send(
-                        upstream.entry(),
-                        request,
-                        headers,
-                        body,
-                        !route.isRetryable(),
-                        new AttemptListener(
-                                this,
-                                () -> attempt == newAttempt,
-                                () -> suspension.end(newAttempt),
-                                this::onInternalError));
+        UpstreamClient.RequestHandle handle = sender.send(
+                upstream.entry(),
+                remainingMillis,
+                position.lastEventId(),
+                new AttemptListener(
+                        this, () -> attempt == newAttempt, () -> suspension.end(newAttempt), this::onInternalError));
         if (attempt == newAttempt) {
             newAttempt.handle = handle;
         }
@@ -551,6 +544,7 @@
 
     private void finish(String outcome, long nowMillis) {
         ended = true;
+        context.roomQueue().remove(this);
         suspension.end();
         endAttempt();
         record.recordOutcome(outcome, nowMillis);
@@ -565,6 +559,7 @@
         attempt = null;
         readingPaused = false;
         finished.release();
+        context.roomQueue().wake();
     }
 
     private void recordActivity() {
@@ -575,7 +570,7 @@
 
     private boolean isEventStream() {
         return route.isStreaming()
-                && !request.method().equals(HttpMethod.HEAD)
+                && !record.admitted().request().method().equals(HttpMethod.HEAD)
                 && responses.isSuccessWithProof(attempt.response)
                 && position.mayContinueWith(attempt.response);
     }
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/Gateway.java
@@ -49,8 +49,6 @@
 import org.lovagethread.gateway.store.Scheduler;
 import org.lovagethread.gateway.store.StateSync;
 import org.lovagethread.gateway.stream.StreamOrigins;
-import org.lovagethread.gateway.upstream.LeavingMark;
-import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
 import org.lovagethread.wire.generated.GatewayDatagram;
 
@@ -101,6 +99,8 @@
     private final UsageReporter usageReporter;
     private final PromptEvidenceStore promptEvidence;
     private final FleetManager fleetManager;
+    private final RoomQueue roomQueue = new RoomQueue(loop, this::nowMillis);
+    private final UpstreamNotices notices;
     private final NettyUpstreamClient upstreamClient;
     private final RelayService relays;
     private final CallerServer callerServer;
@@ -176,12 +176,13 @@
         this.fleetManager =
                 new FleetManager(ports.duties(), upstreams, engineModels, this::nowMillis, lease::fencingToken, log);
         fleetManager.followDemand(service -> zoneTraffic.demandByZone(service, nowMillis()));
+        this.notices = new UpstreamNotices(ports.headerCodec(), upstreams, this::nowMillis, log);
         this.upstreamClient = new NettyUpstreamClient(
                 loop,
                 ports.headerCodec(),
                 this::nowMillis,
                 bounds.silenceTimeouts().contactMillis(),
-                this::onLeavingNotice,
+                notices::read,
                 links.reporter());
         store.onRestore(() -> loop.execute(sync::onRestore));
         store.onRestore(promptEvidence::onRestore);
@@ -241,14 +242,6 @@
         return (InetSocketAddress) callerListener.localAddress();
     }
 
-    /** Marks an upstream as leaving, which it has said in a response. Peers receive the mark with the next state. */
-    private void onLeavingNotice(UpstreamEntry upstream) {
-        LeavingMark mark = LeavingMark.announced(upstream);
-        if (upstreams.markLeaving(mark, UpstreamTable.LEAVING_MARK_MILLIS, nowMillis())) {
-            log.add(log.line("upstream-leaving").put("upstream", mark.text()).put("source", "response"));
-        }
-    }
-
     /** Returns whether this gateway may still process a request, which it may not if it is about to stop. */
     boolean accepts(Route route, long timeoutMillis, long nowMillis) {
         return shutdown.accepts(route, timeoutMillis, nowMillis);
@@ -335,6 +328,7 @@
         speedMonitor.updateMetrics(metrics, nowMillis());
         upstreamClient.publish(metrics);
         links.publish(metrics);
+        notices.publish(metrics);
         return new SimpleHttpServer.Response(
                 HttpResponseStatus.OK, "text/plain; version=0.0.4", ByteString.copyFrom(metrics.exposition()));
     }
@@ -560,6 +554,11 @@
         return responseMemory;
     }
 
+    @Override
+    public RoomQueue roomQueue() {
+        return roomQueue;
+    }
+
     @Override
     public UpstreamClient upstreamClient() {
         return upstreamClient;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/EndlessResponseTest.java
@@ -65,7 +65,7 @@
                         context,
                         System::currentTimeMillis,
                         MAX_IDLE_MILLIS,
-                        upstream -> {},
+                        (upstream, response) -> {},
                         new LinkReporter(new LinkMonitor(Math::random), System::currentTimeMillis));
                 loop.execute(() -> send(client, server.address()));
                 String reason = failure.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -44,6 +44,7 @@
 import org.lovagethread.gateway.stream.StreamQueries;
 import org.lovagethread.gateway.stream.StreamVersions;
 import org.lovagethread.gateway.stream.VersionRecorder;
+import org.lovagethread.gateway.upstream.BrittleNotice;
 import org.lovagethread.gateway.upstream.PauseRequest;
 import org.lovagethread.gateway.upstream.UpstreamEntry;
 import org.lovagethread.gateway.upstream.UpstreamTable;
@@ -53,6 +54,7 @@
     static final String NOT_RUN = "not-run";
     static final String PROOF = "proof";
     static final String LEAVING = "leaving";
+    static final String BRITTLE = "brittle";
 
     final List<FakeAttempt> attempts = new ArrayList<>();
     final StringBuilder streamedEvents = new StringBuilder();
@@ -96,6 +98,8 @@
     ExchangeRecord record;
     long pauseMillis;
     long retryAfterMillis;
+    final List<Runnable> tasks = new ArrayList<>();
+    private final RoomQueue roomQueue = new RoomQueue(tasks::add, this::nowMillis);
     private final EngineModels engineModels = new EngineModels();
     private final TokenQuota quota = new TokenQuota(0, 0, 0, () -> 0.5);
     private final Placement placement = new Placement(new ZoneTopology("a", Map.of("a", "north")), engineModels);
@@ -218,6 +222,13 @@
         return response.headers().contains(LEAVING) ? LeavingNotice.LEAVING : LeavingNotice.NONE;
     }
 
+    @Override
+    public BrittleNotice brittleNotice(HttpResponse response) {
+        return response.headers().contains(BRITTLE)
+                ? BrittleNotice.stated(response.headers().getInt(BRITTLE))
+                : BrittleNotice.NONE;
+    }
+
     @Override
     public Optional<PauseRequest> pauseRequest(HttpResponse rejection) {
         return pauseMillis > 0 && rejection.headers().contains(NOT_RUN)
@@ -359,6 +370,11 @@
         return responseMemory;
     }
 
+    @Override
+    public RoomQueue roomQueue() {
+        return roomQueue;
+    }
+
     @Override
     public UpstreamClient upstreamClient() {
         return this;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/UpstreamConnectionTest.java
@@ -135,12 +135,18 @@
                 context,
                 System::currentTimeMillis,
                 MAX_IDLE_MILLIS,
-                leaving::add,
+                this::readNotices,
                 new LinkReporter(new LinkMonitor(Math::random), System::currentTimeMillis));
         private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
         private final UpstreamConnection connection = new UpstreamConnection(client, upstream, decoder);
         private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
 
+        private void readNotices(UpstreamEntry sender, HttpResponse response) {
+            if (context.leavingNotice(response) == HeaderCodec.LeavingNotice.LEAVING) {
+                leaving.add(sender);
+            }
+        }
+
         private FullHttpRequest request(String id) {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
             request.headers().set("X-Request-Id", id);
@@ -271,7 +277,7 @@
                 context,
                 System::currentTimeMillis,
                 MAX_IDLE_MILLIS,
-                upstream -> {},
+                (upstream, response) -> {},
                 new LinkReporter(new LinkMonitor(Math::random), System::currentTimeMillis));
 
         @AfterEach
@@ -350,7 +356,7 @@
                     context,
                     now::get,
                     MAX_IDLE_MILLIS,
-                    upstream -> {},
+                    (upstream, response) -> {},
                     new LinkReporter(new LinkMonitor(Math::random), System::currentTimeMillis));
             ScriptedServer.Script script = (connection, request) -> ScriptedServer.Reply.keep(
                     withId(SUCCESS + "Keep-Alive: timeout=60\r\n", connection == 1 ? "a" : "b") + "ok");
