Let the age of a list of upstreams be stated by those who know it

A gateway that counts as knowing all versions may remove versions from the record, which would let streams be joined after its removal.

The age now begins with the call that the store answered (KindWatcher), and gateways state it to each other (upstreams_age_millis). Versions are removed only by the gateway that holds the duties, and while it hears all others, since one that is cut off may still use an old version. Tests: StateSyncTest (AgeOfTheUpstreams), StreamVersionsTest (isNotClaimedWithAListOfUnknownAge); observe now takes an optional time, which the other tests pass.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/PeerExchange.java
@@ -241,6 +241,9 @@
             addUsageCounts(state, nowMillis);
         }
         gateway.streamOriginService().addTo(state);
+        gateway.sync()
+                .upstreamsListedMillis()
+                .ifPresent(listedMillis -> state.setUpstreamsAgeMillis(nowMillis - listedMillis));
         gateway.links().addTo(state, nowMillis);
         state.addAllRollouts(gateway.rolloutService().gatewaySummaries(nowMillis));
         state.addAllBrittleUpstreams(brittleExchange.nextClaims(nowMillis));
@@ -298,6 +301,9 @@
     private void apply(GatewayState state, long now) {
         String process = state.getNode() + '#' + state.getIncarnation();
         gateway.rolloutService().applyGateway(process, state.getRolloutsList(), now);
+        if (state.hasUpstreamsAgeMillis()) {
+            gateway.sync().onPeerList(state.getUpstreamsRevision(), state.getUpstreamsAgeMillis());
+        }
         gateway.streamOriginService().applyPeer(state, now);
         gateway.links().applyPeer(state, now);
         gateway.clock().update(state.getNode(), state.getWallClockMillis(), now);
@@ -358,7 +364,6 @@
         boolean upstreamsLag = peerRevision > sync.upstreamsRevision();
         if (!configurationLags && !upstreamsLag) {
             laggingSinceMillis.remove(host);
-            sync.onPeerHasNoNewerUpstreams();
             return;
         }
         long sinceMillis = laggingSinceMillis.computeIfAbsent(host, key -> nowMillis);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginService.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/StreamOriginService.java
@@ -77,7 +77,8 @@
         long intervalMillis = origins.writeIntervalMillis();
         writer.tick(intervalMillis, gateway.sync().storeHealth().recoveredMillis(), nowMillis);
         boolean holdsDuty = gateway.lease().fencingToken().isPresent();
-        recorder.tick(resumableServices(), gateway.gatewayCount(), holdsDuty, nowMillis);
+        boolean hearsAll = gateway.unreachableShare() == 0;
+        recorder.tick(resumableServices(), gateway.gatewayCount(), holdsDuty && hearsAll, nowMillis);
         if (holdsDuty) {
             boolean mayFindChunks = !versions.isComplete() || !mixed.isEmpty();
             cleaner.tick(mayFindChunks, versions.lifetimeMillis(), intervalMillis, nowMillis);
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/KindWatcher.java
@@ -27,6 +27,7 @@
     private final Timing timing;
     private List<StoredObject> listing = new ArrayList<>();
     private long listingRevision;
+    private long listedMillis;
     private long revision = -1;
     private long retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
     private long currentCallId;
@@ -62,6 +63,13 @@
          */
         void onChange(ObjectStore.Change change, long revision);
 
+        /**
+         * Handles that all changes up to a time have been delivered.
+         *
+         * @param listedMillis the time of the call that showed it, in milliseconds
+         */
+        default void onUpToDate(long listedMillis) {}
+
         /**
          * Handles the outcome of a call to the store.
          *
@@ -102,6 +110,7 @@
         if (revision < 0) {
             listing = new ArrayList<>();
             listingRevision = Long.MAX_VALUE;
+            listedMillis = scheduler.nowMillis();
             list("", currentCallId);
         } else {
             watch(currentCallId);
@@ -175,10 +184,12 @@
         List<StoredObject> complete = listing;
         listing = new ArrayList<>();
         notifyObserver(() -> observer.onListing(complete, revision));
+        notifyObserver(() -> observer.onUpToDate(listedMillis));
         watch(callId);
     }
 
     private void watch(long callId) {
+        long calledMillis = scheduler.nowMillis();
         store.watch(
                 kind,
                 revision,
@@ -188,6 +199,7 @@
                         retryDelayMillis = INITIAL_RETRY_DELAY_MILLIS;
                         unreadableReplies = 0;
                         onChanges(reply.value().get());
+                        notifyObserver(() -> observer.onUpToDate(calledMillis));
                         continueWatching(reply.value().get(), callId);
                     } else {
                         onFailedWatch(reply.status());
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/store/StateSync.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -56,7 +57,7 @@
     private Optional<JsonNode> configurationJson = Optional.empty();
     private Optional<ByteString> compressedConfiguration = Optional.empty();
     private long upstreamsRevision = -1;
-    private long upstreamsListedMillis = Long.MIN_VALUE;
+    private OptionalLong upstreamsListedMillis = OptionalLong.empty();
     private long restartRevision = -1;
     private boolean upstreamsListed;
     private boolean isWatching = true;
@@ -185,22 +186,30 @@
     }
 
     /**
-     * Returns the latest time at which the list of upstreams was known to be up to date: when the store answered, or
-     * a peer that has followed it.
+     * Returns the latest time at which the list of upstreams was known to be up to date, by the store or by a peer.
      *
-     * @return the time in milliseconds, long past if there has been no list
+     * @return the time in milliseconds; empty if it never was
      */
-    public long upstreamsListedMillis() {
+    public OptionalLong upstreamsListedMillis() {
         return upstreamsListedMillis;
     }
 
-    /** Records that a peer, from which this gateway receives changes, has no newer upstreams. */
-    public void onPeerHasNoNewerUpstreams() {
-        if (!isWatching) {
-            upstreamsListedMillis = scheduler.nowMillis();
+    /**
+     * Records how old the list of a peer is. It counts for this gateway if its own list is not behind.
+     *
+     * @param revision the version of the latest change of upstreams that the peer has received
+     * @param ageMillis the time since the list of the peer was known to be up to date, in milliseconds
+     */
+    public void onPeerList(long revision, long ageMillis) {
+        if (revision <= upstreamsRevision) {
+            recordListed(scheduler.nowMillis() - ageMillis);
         }
     }
 
+    private void recordListed(long listedMillis) {
+        upstreamsListedMillis = OptionalLong.of(Math.max(upstreamsListedMillis.orElse(listedMillis), listedMillis));
+    }
+
     /**
      * Returns whether this gateway can be expected to reach the store: the store processed the last call, or
      * that call is long past.
@@ -487,12 +496,14 @@
             StateSync.this.applyChange(change, revision);
         }
 
+        @Override
+        public void onUpToDate(long listedMillis) {
+            recordListed(listedMillis);
+        }
+
         @Override
         public void onCallCompleted(boolean processed) {
             StateSync.this.recordCall(processed);
-            if (processed) {
-                upstreamsListedMillis = scheduler.nowMillis();
-            }
         }
 
         @Override
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamVersions.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamVersions.java
@@ -77,16 +77,17 @@
      * Records the upstreams that are listed.
      *
      * @param upstreams all upstreams of all services, including leaving ones
-     * @param listedMillis the latest time at which the list was known to be up to date, in milliseconds
+     * @param listedMillis the latest time at which the list was known to be up to date, in milliseconds; empty if it
+     *     never was
      * @param nowMillis the current time in milliseconds
      */
-    public void observe(Collection<Upstream> upstreams, long listedMillis, long nowMillis) {
+    public void observe(Collection<Upstream> upstreams, OptionalLong listedMillis, long nowMillis) {
         for (Upstream upstream : upstreams) {
             service(upstream.entry().service())
                     .listedMillis
                     .put(upstream.entry().version(), nowMillis);
         }
-        boolean isUpToDate = nowMillis - listedMillis <= MAX_LIST_AGE_MILLIS;
+        boolean isUpToDate = listedMillis.isPresent() && nowMillis - listedMillis.getAsLong() <= MAX_LIST_AGE_MILLIS;
         if (!isUpToDate) {
             complete = false;
             firstObservedMillis = OptionalLong.empty();
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/VersionRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/VersionRecorder.java
@@ -114,10 +114,11 @@
      *
      * @param services the services whose streams can be taken up again
      * @param gateways the number of gateways that share the store
-     * @param holdsDuty whether this gateway is the one that removes what is no longer needed
+     * @param mayRemove whether this gateway removes what is no longer needed: it is the one whose duty this is, and
+     *     hears all others, which might still use an old version
      * @param nowMillis the current time in milliseconds
      */
-    public void tick(Set<String> services, int gateways, boolean holdsDuty, long nowMillis) {
+    public void tick(Set<String> services, int gateways, boolean mayRemove, long nowMillis) {
         if (recordedEra != storeEra.getAsLong()) {
             recorded.clear();
         }
@@ -130,19 +131,19 @@
             long spreadMillis = (long) (random.getAsDouble() * gateways * SPREAD_MILLIS);
             dueMillis = OptionalLong.of(dueMillis.orElse(nowMillis + spreadMillis));
             if (nowMillis >= dueMillis.getAsLong()) {
-                read(services, nowMillis);
+                read(services, mayRemove, nowMillis);
             }
-        } else if (holdsDuty && versions.isComplete() && mayRemove(lately)) {
+        } else if (mayRemove && versions.isComplete() && hasOutdated(lately)) {
             dueMillis = OptionalLong.of(dueMillis.orElse(nowMillis + RETRY_MILLIS));
             if (nowMillis >= dueMillis.getAsLong()) {
-                read(services, nowMillis);
+                read(services, true, nowMillis);
             }
         } else {
             dueMillis = OptionalLong.empty();
         }
     }
 
-    private boolean mayRemove(Set<ServiceVersion> lately) {
+    private boolean hasOutdated(Set<ServiceVersion> lately) {
         return known.era() == storeEra.getAsLong() && !outdated(known, lately).isEmpty();
     }
 
@@ -160,27 +161,27 @@
         return outdated;
     }
 
-    private void read(Set<String> services, long nowMillis) {
+    private void read(Set<String> services, boolean mayRemove, long nowMillis) {
         beginCall(nowMillis);
         store.read(ObjectKind.STREAMS, VersionRecord.NAME, reply -> {
             endCall(reply);
             if (reply.status() == Status.OK && reply.value().isPresent()) {
                 object = reply.value();
-                apply(VersionRecord.decode(reply.value().get().content()), services, nowMillis);
+                apply(VersionRecord.decode(reply.value().get().content()), services, mayRemove, nowMillis);
             } else if (reply.status() == Status.MISSING) {
                 object = Optional.empty();
-                apply(Optional.empty(), services, nowMillis);
+                apply(Optional.empty(), services, mayRemove, nowMillis);
             }
         });
     }
 
-    private void apply(Optional<VersionRecord> stored, Set<String> services, long nowMillis) {
+    private void apply(Optional<VersionRecord> stored, Set<String> services, boolean mayRemove, long nowMillis) {
         long era = storeEra.getAsLong();
         Set<ServiceVersion> lately = versions.lately(services, nowMillis);
         VersionRecord current = stored.filter(record -> record.era() == era).orElseGet(() -> begin(stored, era));
         boolean isStored = stored.filter(record -> record.era() == era).isPresent();
         VersionRecord wanted = current.with(lately, clusterClock.getAsLong());
-        if (versions.isComplete()) {
+        if (mayRemove && versions.isComplete()) {
             wanted = wanted.without(outdated(wanted, lately));
         }
         if (isStored && wanted.equals(current)) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/FakeExchangeContext.java
@@ -356,7 +356,7 @@
 
     /** Observes the upstreams and records their versions, as a gateway does between requests. */
     void observeVersions() {
-        versions.observe(upstreams.all(), currentMillis, currentMillis);
+        versions.observe(upstreams.all(), OptionalLong.of(currentMillis), currentMillis);
         recorder.tick(Set.of("desk"), 1, true, currentMillis);
     }
 
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/store/StateSyncTest.java
@@ -148,6 +148,32 @@
         return UpstreamListing.parseFrom(Gzip.decompress(bytes));
     }
 
+    @Nested
+    class AgeOfTheUpstreams {
+        // Guards against a list of which nobody knows how old it is, and that counts as up to date.
+        @Test
+        void isUnknownUntilTheStoreOrAPeerHasStatedIt() {
+            assertThat(sync.upstreamsListedMillis()).isEmpty();
+            sync.onPeerList(sync.upstreamsRevision() + 1, 0);
+            assertThat(sync.upstreamsListedMillis()).isEmpty();
+            sync.onPeerList(sync.upstreamsRevision(), 700);
+            assertThat(sync.upstreamsListedMillis()).hasValue(now - 700);
+        }
+
+        // Guards against a reply without the history, which shows that the list is out of date.
+        @Test
+        void beginsWithTheCallThatTheStoreAnswered() {
+            sync.start();
+            store.listReplies
+                    .get(ObjectKind.UPSTREAMS)
+                    .accept(StoreReply.of(Status.OK, new ObjectStore.Page(List.of(), false, 5)));
+            assertThat(sync.upstreamsListedMillis()).hasValue(10_000);
+            now = 12_000;
+            store.watchReplies.get(ObjectKind.UPSTREAMS).accept(StoreReply.of(Status.HISTORY_GONE));
+            assertThat(sync.upstreamsListedMillis()).hasValue(10_000);
+        }
+    }
+
     @Nested
     class UnreadableUpstreams {
         @Test
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamOriginsFixture.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamOriginsFixture.java
@@ -102,7 +102,7 @@
             }
             origins.tick(nowMillis());
             listedMillis = storeOutage ? listedMillis : nowMillis();
-            versions.observe(upstreams.all(), listedMillis, nowMillis());
+            versions.observe(upstreams.all(), OptionalLong.of(listedMillis), nowMillis());
             recorder.tick(
                     versions.lifetimeMillis() > 0 ? Set.of(SERVICE) : Set.of(),
                     GATEWAYS,
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamVersionsTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamVersionsTest.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -33,51 +34,62 @@
         // Guards against a gateway that trusts its first list, since no lifetime was known when it got requests.
         @Test
         void isNotClaimedBeforeTheFirstConfiguration() {
-            versions.observe(upstreams("1"), 0, 0);
-            versions.observe(upstreams("1"), 10 * LIFETIME_MILLIS, 10 * LIFETIME_MILLIS);
+            versions.observe(upstreams("1"), OptionalLong.of(0), 0);
+            versions.observe(upstreams("1"), OptionalLong.of(10 * LIFETIME_MILLIS), 10 * LIFETIME_MILLIS);
             assertThat(versions.isComplete()).isFalse();
         }
 
         @Test
         void isNotClaimedBeforeTheFirstList() {
             versions.longestTimeout(TIMEOUT_MILLIS);
-            versions.observe(upstreams(), 0, 0);
+            versions.observe(upstreams(), OptionalLong.of(0), 0);
             versions.recordPeer(true, Set.of(), Map.of(), 10);
-            versions.observe(upstreams(), 10 * LIFETIME_MILLIS, 10 * LIFETIME_MILLIS);
+            versions.observe(upstreams(), OptionalLong.of(10 * LIFETIME_MILLIS), 10 * LIFETIME_MILLIS);
             assertThat(versions.isComplete()).isFalse();
         }
 
         @Test
         void isThereAfterOneLifetime() {
             versions.longestTimeout(TIMEOUT_MILLIS);
-            versions.observe(upstreams("1"), 0, 0);
-            versions.observe(upstreams("1"), LIFETIME_MILLIS, LIFETIME_MILLIS);
+            versions.observe(upstreams("1"), OptionalLong.of(0), 0);
+            versions.observe(upstreams("1"), OptionalLong.of(LIFETIME_MILLIS), LIFETIME_MILLIS);
             assertThat(versions.isComplete()).isFalse();
-            versions.observe(upstreams("1"), LIFETIME_MILLIS + 1, LIFETIME_MILLIS + 1);
+            versions.observe(upstreams("1"), OptionalLong.of(LIFETIME_MILLIS + 1), LIFETIME_MILLIS + 1);
             assertThat(versions.isComplete()).isTrue();
         }
 
+        // Guards against a gateway that counts a list of unknown age as up to date.
+        @Test
+        void isNotClaimedWithAListOfUnknownAge() {
+            versions.longestTimeout(TIMEOUT_MILLIS);
+            versions.observe(upstreams("1"), OptionalLong.empty(), 0);
+            versions.observe(upstreams("1"), OptionalLong.empty(), 10 * LIFETIME_MILLIS);
+            assertThat(versions.isComplete()).isFalse();
+        }
+
         // Guards against a gateway that stood still or was cut off, and judges by a list of before.
         @Test
         void endsWithTheAgeOfTheList() {
             versions.longestTimeout(TIMEOUT_MILLIS);
             versions.markComplete();
-            versions.observe(upstreams("1"), 0, 0);
+            versions.observe(upstreams("1"), OptionalLong.of(0), 0);
             assertThat(versions.isComplete()).isTrue();
-            versions.observe(upstreams("1"), 0, MAX_LIST_AGE_MILLIS + 1);
+            versions.observe(upstreams("1"), OptionalLong.of(0), MAX_LIST_AGE_MILLIS + 1);
             assertThat(versions.isComplete()).isFalse();
             long listedAgainMillis = MAX_LIST_AGE_MILLIS + 2;
-            versions.observe(upstreams("1"), listedAgainMillis, listedAgainMillis);
+            versions.observe(upstreams("1"), OptionalLong.of(listedAgainMillis), listedAgainMillis);
             assertThat(versions.isComplete()).isFalse();
             versions.observe(
-                    upstreams("1"), listedAgainMillis + LIFETIME_MILLIS, listedAgainMillis + LIFETIME_MILLIS + 1);
+                    upstreams("1"),
+                    OptionalLong.of(listedAgainMillis + LIFETIME_MILLIS),
+                    listedAgainMillis + LIFETIME_MILLIS + 1);
             assertThat(versions.isComplete()).isTrue();
         }
 
         @Test
         void isNotAdoptedFromAPeerWithSeveralVersions() {
             versions.longestTimeout(TIMEOUT_MILLIS);
-            versions.observe(upstreams("1"), 0, 0);
+            versions.observe(upstreams("1"), OptionalLong.of(0), 0);
             versions.recordPeer(true, Set.of("pool"), Map.of(), 10);
             assertThat(versions.isComplete()).isFalse();
             assertThat(versions.isMixed("pool", 20)).isTrue();
@@ -89,10 +101,10 @@
         @Test
         void countForOneLifetimeAfterTheLastUpstreamOfOne() {
             versions.longestTimeout(TIMEOUT_MILLIS);
-            versions.observe(upstreams("1", "2"), 0, 0);
-            versions.observe(upstreams("2"), LIFETIME_MILLIS, LIFETIME_MILLIS);
+            versions.observe(upstreams("1", "2"), OptionalLong.of(0), 0);
+            versions.observe(upstreams("2"), OptionalLong.of(LIFETIME_MILLIS), LIFETIME_MILLIS);
             assertThat(versions.mixedServices(LIFETIME_MILLIS)).containsExactly("pool");
-            versions.observe(upstreams("2"), LIFETIME_MILLIS + 1, LIFETIME_MILLIS + 1);
+            versions.observe(upstreams("2"), OptionalLong.of(LIFETIME_MILLIS + 1), LIFETIME_MILLIS + 1);
             assertThat(versions.mixedServices(LIFETIME_MILLIS + 1)).isEmpty();
         }
 
@@ -111,7 +123,7 @@
             versions.longestTimeout(TIMEOUT_MILLIS);
             versions.recordBeginning("pool", "a", "1", 0);
             versions.recordBeginning("pool", "b", "1", 10);
-            versions.observe(upstreams("1"), LIFETIME_MILLIS + 5, LIFETIME_MILLIS + 5);
+            versions.observe(upstreams("1"), OptionalLong.of(LIFETIME_MILLIS + 5), LIFETIME_MILLIS + 5);
             assertThat(versions.version("pool", "a")).isEmpty();
             assertThat(versions.version("pool", "b")).contains("1");
             assertThat(versions.version("other", "b")).isEmpty();
