Count no connection that was begun before a gateway stood still

The test (leavesNoProofInConnectionsThatWereBegunBefore) passes with the change; it does not compile without, since a connection that is established now states when it was begun.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/LinkReporter.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/LinkReporter.java
@@ -28,7 +28,7 @@
         long beganMillis = clock.getAsLong();
         connecting.addListener(ended -> {
             if (ended.isSuccess()) {
-                monitor.recordConnected(upstream, clock.getAsLong());
+                monitor.recordConnected(upstream, beganMillis, clock.getAsLong());
             } else if (isFailureOfLink(ended.cause())) {
                 monitor.recordFailed(upstream, beganMillis, clock.getAsLong());
             } else {
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/link/LinkMonitor.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/link/LinkMonitor.java
@@ -103,11 +103,15 @@
      * Records that a connection to an upstream was established.
      *
      * @param upstream the upstream
+     * @param beganMillis when the connection was begun, in milliseconds
      * @param nowMillis the current time in milliseconds
      */
-    public void recordConnected(UpstreamEntry upstream, long nowMillis) {
+    public void recordConnected(UpstreamEntry upstream, long beganMillis, long nowMillis) {
         observe(nowMillis);
         probes.end(upstream.id());
+        if (beganMillis < trustedFromMillis) {
+            return;
+        }
         connectedMillis = OptionalLong.of(nowMillis);
         endQuiet(nowMillis);
         resetSuspected = false;
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/link/LinkMonitorTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/link/LinkMonitorTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -10,6 +11,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lovagethread.gateway.link.LinkSimulation.Links;
 import org.lovagethread.gateway.link.LinkSimulation.SimulatedGateway;
+import org.lovagethread.gateway.upstream.UpstreamEntry;
 
 class LinkMonitorTest {
     private static final int GATEWAYS = 6;
@@ -240,6 +242,21 @@
 
     @Nested
     class Standstill {
+        // Guards against a gateway that returns, or misleads its peers, by connections from before it stood still.
+        @Test
+        void leavesNoProofInConnectionsThatWereBegunBefore() {
+            LinkMonitor monitor = new LinkMonitor(() -> 0.5);
+            UpstreamEntry upstream = new UpstreamEntry("i-1", "pool", "10.0.0.1", 80, "a", 6, false, false, 1);
+            monitor.tick(List.of(upstream), false, 0);
+            monitor.tick(List.of(upstream), false, 5_000);
+            monitor.recordConnected(upstream, 0, 5_001);
+            assertThat(monitor.statement(5_001).reachedAgeMillis()).isEmpty();
+            monitor.tick(List.of(upstream), false, 5_200);
+            monitor.tick(List.of(upstream), false, 5_400);
+            monitor.recordConnected(upstream, 5_300, 5_400);
+            assertThat(monitor.statement(5_400).reachedAgeMillis()).hasValue(0);
+        }
+
         @ParameterizedTest
         @ValueSource(longs = {300, 1_000, 5_000})
         void ofAGatewayIsolatesIt(long millis) {
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/link/LinkSimulation.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/link/LinkSimulation.java
@@ -227,7 +227,7 @@
                     delayMillis,
                     () -> whenAwake(() -> {
                         if (succeeds) {
-                            connecting.recordConnected(upstream.entry, nowMillis);
+                            connecting.recordConnected(upstream.entry, beganMillis, nowMillis);
                             onConnected.run();
                         } else {
                             connecting.recordFailed(upstream.entry, beganMillis, nowMillis);
