--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeStreamTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/http/ExchangeStreamTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -104,7 +105,8 @@
 
         StreamsThatACallerTakesUp() {
             context.lastEventId = OptionalLong.of(TAKEN_UP_AFTER);
-            context.versions.markComplete();
+            context.resumedRequestId = Optional.of("first");
+            context.versions.recordBeginning("desk", "first", "", context.currentMillis);
         }
 
         private void startAndSend(boolean resumable, String events) {
