Let no stream begin at the only version before it is recorded

Where all upstreams changed at once, streams began at the new version before it was recorded, and could be taken up at the old one by a gateway that was a moment behind after this one had ended. They now wait, refused and not run, for at most a second in which the record is being written; with the store away they begin as before.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigins.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigins.java
@@ -118,8 +118,8 @@
     }
 
     /**
-     * Returns the upstreams at which a stream may begin: of several versions, only those that are recorded. If none is,
-     * all of them.
+     * Returns the upstreams at which a stream may begin: only those whose version is recorded. If none is, none for a
+     * moment in which one may be recorded, then all of them.
      *
      * @param request the request
      * @param upstreams the upstreams that can receive it
@@ -127,23 +127,14 @@
      * @return some of the upstreams, in their order
      */
     public List<Upstream> beginnable(StreamRequest request, List<Upstream> upstreams, long nowMillis) {
-        if (!request.isResumable() || !isMixed(upstreams)) {
+        if (!request.isResumable()) {
             return upstreams;
         }
         List<Upstream> recorded = upstreams.stream()
                 .filter(upstream -> recorder.isRecorded(
                         upstream.entry().service(), upstream.entry().version(), nowMillis))
                 .toList();
-        return recorded.isEmpty() ? upstreams : recorded;
-    }
-
-    private static boolean isMixed(List<Upstream> upstreams) {
-        for (Upstream upstream : upstreams) {
-            if (!upstream.entry().version().equals(upstreams.get(0).entry().version())) {
-                return true;
-            }
-        }
-        return false;
+        return recorded.isEmpty() && !recorder.isAboutToRecord(request.service(), nowMillis) ? upstreams : recorded;
     }
 
     /**
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/VersionRecorder.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/VersionRecorder.java
@@ -35,6 +35,9 @@
 
     private static final long RETRY_MILLIS = 200;
 
+    /** Time for which streams do not begin at the only version if it is about to be recorded, in milliseconds. */
+    private static final long MAX_HOLD_MILLIS = 1_000;
+
     private final ObjectStore store;
     private final StreamVersions versions;
     private final LongSupplier storeEra;
@@ -47,6 +50,7 @@
     private VersionRecord known = new VersionRecord(-1, Long.MAX_VALUE, Map.of());
     private long recordedEra = -1;
     private OptionalLong dueMillis = OptionalLong.empty();
+    private OptionalLong missingSinceMillis = OptionalLong.empty();
     private boolean callPending;
     private long calls;
 
@@ -98,6 +102,20 @@
         return recorded.contains(asked) || (statedMillis != null && nowMillis - statedMillis <= PEER_STATEMENT_MILLIS);
     }
 
+    /**
+     * Returns whether a version of a service that has others in the record is being added to it.
+     *
+     * @param service the name of the service
+     * @param nowMillis the current time in milliseconds
+     * @return false also if this takes too long, as the store may be away
+     */
+    public boolean isAboutToRecord(String service, long nowMillis) {
+        return missingSinceMillis.isPresent()
+                && nowMillis - missingSinceMillis.getAsLong() < MAX_HOLD_MILLIS
+                && known.era() == storeEra.getAsLong()
+                && !known.versions(service).isEmpty();
+    }
+
     /** Returns the versions of which this gateway knows that they are recorded, for its peers. */
     Set<ServiceVersion> recorded() {
         return recorded;
@@ -124,6 +142,9 @@
         }
         Set<ServiceVersion> lately = versions.lately(services, nowMillis);
         recorded.retainAll(lately);
+        missingSinceMillis = recorded.containsAll(lately)
+                ? OptionalLong.empty()
+                : OptionalLong.of(missingSinceMillis.orElse(nowMillis));
         if (callPending || versions.lifetimeMillis() == 0) {
             return;
         }
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamOriginProofTest.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamOriginProofTest.java
@@ -120,11 +120,28 @@
             assertThat(recordedVersions()).containsExactlyInAnyOrder("1", "2");
         }
 
+        // Guards against a stream at a version that is not recorded yet, where all upstreams change at once.
         @Test
-        void streamsMayBeginAtAnUnrecordedVersionIfThereIsNoOther() {
+        void streamsWaitUntilTheOnlyVersionIsRecorded() {
+            first.list("i-2", "2", clusterMillis.get());
+            first.remove("i-1");
+            first.versions.observe(first.upstreams.all(), OptionalLong.of(first.nowMillis()), first.nowMillis());
+            store.setUnavailable(true);
+            run(2 * TICK_MILLIS);
+            assertThat(beginnable()).isEmpty();
+            store.setUnavailable(false);
+            run(SECOND_MILLIS / 2);
+            assertThat(beginnable()).containsExactly("2");
+            assertThat(recordedVersions()).contains("2");
+        }
+
+        @Test
+        void streamsMayBeginAtAnUnrecordedVersionIfThereIsNoOtherAndTheStoreIsAway() {
             store.setUnavailable(true);
             first.list("i-2", "2", clusterMillis.get());
             first.remove("i-1");
+            run(SECOND_MILLIS / 2);
+            assertThat(beginnable()).isEmpty();
             run(SECOND_MILLIS);
             assertThat(beginnable()).containsExactly("2");
         }
