Read the store for a stream from the time at which the peers have been asked

A list that had begun meanwhile was neither used nor repeated at once, so the request waited for up to 300 ms; after a stall it was refused as if the store could not be reached. Found by reading; no run shows the delay.

--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigins.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigins.java
@@ -26,6 +26,7 @@
     private final IntSupplier gatewayCount;
     private final LongSupplier storeEra;
     private final LongSupplier clusterClock;
+    private long latestMillis = Long.MIN_VALUE;
 
     /**
      * Creates origins without streams.
@@ -68,6 +69,7 @@
             consumer.accept(StreamOrigin.BEGINNING);
             return;
         }
+        latestMillis = Math.max(latestMillis, nowMillis);
         versions.longestTimeout(request.timeoutMillis());
         String service = request.service();
         Optional<String> streamId = request.streamId();
@@ -79,23 +81,23 @@
                 if (answer.isPresent()) {
                     consumer.accept(StreamOrigin.known(StreamOrigin.Source.PEER, answer.get()));
                 } else {
-                    lookUp(request, nowMillis, consumer);
+                    lookUp(request, consumer);
                 }
             });
         } else if (versions.isMixed(service, nowMillis)) {
             consumer.accept(StreamOrigin.unknown("the request names no stream"));
         } else {
-            lookUp(request, nowMillis, consumer);
+            lookUp(request, consumer);
         }
     }
 
-    private void lookUp(StreamRequest request, long nowMillis, Consumer<StreamOrigin> consumer) {
-        boolean isMixed = versions.isMixed(request.service(), nowMillis);
+    private void lookUp(StreamRequest request, Consumer<StreamOrigin> consumer) {
+        boolean isMixed = versions.isMixed(request.service(), latestMillis);
         lookup.find(
                 new StreamOriginLookup.Query(request.service(), request.streamId(), isMixed),
                 writeIntervalMillis(),
                 listIntervalMillis(),
-                nowMillis,
+                latestMillis,
                 finding -> consumer.accept(conclude(request.service(), isMixed, finding)));
     }
 
@@ -156,6 +158,7 @@
      * @param nowMillis the current time in milliseconds
      */
     public void tick(long nowMillis) {
+        latestMillis = Math.max(latestMillis, nowMillis);
         queries.tick(nowMillis);
         lookup.tick(listIntervalMillis(), nowMillis);
     }
