--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/http/AdmittedRequest.java
@@ -80,6 +80,7 @@
                 streamId(),
                 route.isStreaming() && route.resumable(),
                 isResumption(),
+                route.services().size() > 1,
                 route.timeoutMillis());
     }
 
--- a/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigins.java
+++ b/lovagethread-gateway/src/main/java/org/lovagethread/gateway/stream/StreamOrigins.java
@@ -84,7 +84,7 @@
                     lookUp(request, consumer);
                 }
             });
-        } else if (versions.isMixed(service, nowMillis)) {
+        } else if (versions.isMixed(service, nowMillis) || request.isSplit()) {
             consumer.accept(StreamOrigin.unknown("the request names no stream"));
         } else {
             lookUp(request, consumer);
--- a/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamOriginsFixture.java
+++ b/lovagethread-gateway/src/test/java/org/lovagethread/gateway/stream/StreamOriginsFixture.java
@@ -138,7 +138,8 @@
 
     static StreamRequest request(String id, OptionalLong lastEventId, Optional<String> resumed) {
         boolean isResumption = lastEventId.isPresent();
-        return new StreamRequest(SERVICE, isResumption ? resumed : Optional.of(id), true, isResumption, TIMEOUT_MILLIS);
+        return new StreamRequest(
+                SERVICE, isResumption ? resumed : Optional.of(id), true, isResumption, false, TIMEOUT_MILLIS);
     }
 
     void run(long millis) {
